--- /dev/null
+++ b/adapters/fronthttp/fronthttp.go
@@ -0,0 +1,310 @@
+// Package fronthttp is the plug-in that speaks HTTP with callers and operators.
+package fronthttp
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/requests"
+	"github.com/teaselcleat/teaselcleat/service"
+	"github.com/teaselcleat/teaselcleat/structs"
+	"github.com/teaselcleat/teaselcleat/timeline"
+)
+
+// Headers of the front.
+const (
+	HeaderWorkspace = "X-Workspace"
+	HeaderKey       = "Idempotency-Key"
+	HeaderIssued    = "X-Key-Issued-Ms" // Unix milliseconds at which the caller made the key
+	HeaderOutcome   = "X-Outcome"
+	HeaderReason    = "X-Reason"
+	HeaderReplayed  = "X-Replayed"
+)
+
+// ReplyBody is the JSON body of every answer that is not a relayed one.
+type ReplyBody struct {
+	Outcome       structs.Outcome `json:"outcome"`
+	Reason        structs.Reason  `json:"reason,omitempty"`
+	Detail        string          `json:"detail,omitempty"`
+	ID            string          `json:"id,omitempty"`
+	Version       int64           `json:"version,omitempty"`
+	RetryAfterSec int64           `json:"retry_after_s,omitempty"`
+}
+
+// KeyBody is the JSON body of a request key's state.
+type KeyBody struct {
+	Phase  ledger.KeyPhase `json:"phase"`
+	Reason structs.Reason  `json:"reason,omitempty"`
+	Class  string          `json:"class"`
+	Holder string          `json:"holder"`
+}
+
+// EventsBody is the JSON body of the time line of one process.
+type EventsBody struct {
+	Events    []timeline.Event `json:"events"`
+	Forgotten int64            `json:"forgotten"`
+}
+
+type front struct {
+	service  service.Service
+	registry metrics.Registry
+}
+
+// Handler returns the HTTP side of an instance.
+func Handler(s service.Service, registry metrics.Registry) http.Handler {
+	f := &front{service: s, registry: registry}
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/requests/{class}", f.request).Methods(http.MethodPost)
+	router.HandleFunc("/v1/keys/{workspace}/{key}", f.key).Methods(http.MethodGet)
+	router.HandleFunc("/v1/jobs", f.submitJob).Methods(http.MethodPost)
+	router.HandleFunc("/v1/jobs/{id}", f.job).Methods(http.MethodGet)
+	router.HandleFunc("/v1/jobs/{id}", f.cancelJob).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/targets", f.targets).Methods(http.MethodGet)
+	router.HandleFunc("/v1/targets", f.propose).Methods(http.MethodPost)
+	router.HandleFunc("/v1/refusals", f.refusals).Methods(http.MethodGet)
+	router.HandleFunc("/v1/timeline", f.timeline).Methods(http.MethodGet)
+	router.HandleFunc("/v1/status", f.status).Methods(http.MethodGet)
+	router.HandleFunc("/healthz", f.health).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", f.ready).Methods(http.MethodGet)
+	router.HandleFunc("/metrics", f.metrics).Methods(http.MethodGet)
+	router.NotFoundHandler = http.HandlerFunc(notFound)
+	return router
+}
+
+func notFound(w http.ResponseWriter, _ *http.Request) {
+	writeReply(w, http.StatusNotFound, ReplyBody{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonNotFound})
+}
+
+// statusOf maps a refusal to an HTTP status.
+func statusOf(outcome structs.Outcome, reason structs.Reason) int {
+	switch outcome {
+	case structs.OutcomeRan, structs.OutcomeAccepted:
+		return http.StatusOK
+	case structs.OutcomeInProgress:
+		return http.StatusConflict
+	case structs.OutcomeUnknown:
+		if reason == structs.ReasonDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch reason {
+	case structs.ReasonBadRequest, structs.ReasonInvalidTargets:
+		return http.StatusBadRequest
+	case structs.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case structs.ReasonUnknownClass, structs.ReasonUnknownWorkspace, structs.ReasonNotFound:
+		return http.StatusNotFound
+	case structs.ReasonKeyConflict, structs.ReasonVersionConflict:
+		return http.StatusConflict
+	case structs.ReasonKeyExpired:
+		return http.StatusGone
+	case structs.ReasonImpossibleShape, structs.ReasonGuaranteeUnfit:
+		return http.StatusUnprocessableEntity
+	case structs.ReasonQueueFull, structs.ReasonCannotMeetTarget:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func retrySeconds(after time.Duration) int64 {
+	return int64((after + time.Second - 1) / time.Second)
+}
+
+func writeReply(w http.ResponseWriter, status int, body ReplyBody) {
+	w.Header().Set(HeaderOutcome, string(body.Outcome))
+	if body.Reason != structs.ReasonNone {
+		w.Header().Set(HeaderReason, string(body.Reason))
+	}
+	if body.RetryAfterSec > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(body.RetryAfterSec, 10))
+	}
+	writeJSON(w, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller is gone if this fails
+}
+
+func refuse(w http.ResponseWriter, reason structs.Reason, detail string) {
+	writeReply(w, statusOf(structs.OutcomeNotRun, reason), ReplyBody{Outcome: structs.OutcomeNotRun, Reason: reason, Detail: detail})
+}
+
+// readBody reads a body within the limit; on failure it has answered.
+func (f *front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.service.MaxBody()))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		refuse(w, structs.ReasonTooLarge, "body is over the limit of "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+		return nil, false
+	case err != nil:
+		refuse(w, structs.ReasonBadRequest, "body is shorter than stated")
+		return nil, false
+	case !utf8.Valid(body):
+		refuse(w, structs.ReasonBadRequest, "body is not UTF-8")
+		return nil, false
+	}
+	return body, true
+}
+
+// readJSON decodes a body strictly; on failure it has answered.
+func (f *front) readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, ok := f.readBody(w, r)
+	if !ok {
+		return false
+	}
+	if err := strictJSON(body, into); err != nil {
+		refuse(w, structs.ReasonBadRequest, err.Error())
+		return false
+	}
+	return true
+}
+
+func (f *front) request(w http.ResponseWriter, r *http.Request) {
+	body, ok := f.readBody(w, r)
+	if !ok {
+		return
+	}
+	issued, ok := issuedAt(r)
+	if !ok {
+		refuse(w, structs.ReasonBadRequest, HeaderIssued+" is not a whole number of milliseconds")
+		return
+	}
+	finish := f.service.Request(r.Context(), service.Request{
+		Workspace: r.Header.Get(HeaderWorkspace),
+		Class:     mux.Vars(r)["class"],
+		Key:       r.Header.Get(HeaderKey),
+		Issued:    issued,
+		Body:      body,
+	})
+	if finish.Outcome == structs.OutcomeRan && (finish.Answer != nil || !finish.Replayed) {
+		relay(w, finish)
+		return
+	}
+	writeReply(w, statusOf(finish.Outcome, finish.Reason), ReplyBody{Outcome: finish.Outcome, Reason: finish.Reason,
+		RetryAfterSec: retrySeconds(finish.RetryAfter)})
+}
+
+func issuedAt(r *http.Request) (time.Time, bool) {
+	text := r.Header.Get(HeaderIssued)
+	if text == "" {
+		return time.Time{}, true
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	return time.UnixMilli(ms), err == nil
+}
+
+func relay(w http.ResponseWriter, finish requests.Finish) {
+	w.Header().Set(HeaderOutcome, string(structs.OutcomeRan))
+	if finish.Replayed {
+		w.Header().Set(HeaderReplayed, "true")
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(finish.Answer)))
+	w.WriteHeader(finish.Status)
+	_, _ = w.Write(finish.Answer) // the caller is gone if this fails
+}
+
+func (f *front) key(w http.ResponseWriter, r *http.Request) {
+	entry := f.service.KeyState(structs.KeyID{Workspace: mux.Vars(r)["workspace"], Key: mux.Vars(r)["key"]})
+	if entry == nil {
+		refuse(w, structs.ReasonNotFound, "no such key is remembered")
+		return
+	}
+	writeJSON(w, http.StatusOK, KeyBody{Phase: entry.Phase, Reason: entry.Reason, Class: entry.Claim.Class, Holder: entry.Claim.Holder})
+}
+
+func (f *front) submitJob(w http.ResponseWriter, r *http.Request) {
+	var job service.JobRequest
+	if !f.readJSON(w, r, &job) {
+		return
+	}
+	reply := f.service.SubmitJob(r.Context(), job)
+	status := statusOf(reply.Outcome, reply.Reason)
+	if reply.Outcome == structs.OutcomeAccepted {
+		status = http.StatusAccepted
+	}
+	writeReply(w, status, bodyOf(reply))
+}
+
+func bodyOf(reply structs.Reply) ReplyBody {
+	return ReplyBody{Outcome: reply.Outcome, Reason: reply.Reason, Detail: reply.Detail, ID: reply.ID, RetryAfterSec: retrySeconds(reply.RetryAfter)}
+}
+
+func (f *front) job(w http.ResponseWriter, r *http.Request) {
+	state := f.service.Job(mux.Vars(r)["id"])
+	if state == nil {
+		refuse(w, structs.ReasonNotFound, "no such job is remembered")
+		return
+	}
+	writeJSON(w, http.StatusOK, state)
+}
+
+func (f *front) cancelJob(w http.ResponseWriter, r *http.Request) {
+	reply := f.service.CancelJob(r.Context(), mux.Vars(r)["id"])
+	writeReply(w, statusOf(reply.Outcome, reply.Reason), bodyOf(reply))
+}
+
+func (f *front) targets(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, f.service.Targets())
+}
+
+func (f *front) propose(w http.ResponseWriter, r *http.Request) {
+	var proposal service.Document
+	if !f.readJSON(w, r, &proposal) {
+		return
+	}
+	reply, version := f.service.Propose(r.Context(), proposal)
+	body := bodyOf(reply)
+	body.Version = version
+	writeReply(w, statusOf(reply.Outcome, reply.Reason), body)
+}
+
+func (f *front) refusals(w http.ResponseWriter, r *http.Request) {
+	list, err := f.service.Refusals(r.Context(), r.URL.Query().Get("workspace"))
+	if err != nil {
+		refuse(w, structs.ReasonLogUnavailable, "recorded refusals cannot be read now")
+		return
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (f *front) timeline(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	events, forgotten := f.service.Events(timeline.Filter{Subject: query.Get("job"), Workspace: query.Get("workspace")})
+	writeJSON(w, http.StatusOK, EventsBody{Events: events, Forgotten: forgotten})
+}
+
+func (f *front) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, f.service.Status())
+}
+
+func (f *front) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, f.service.Status())
+}
+
+func (f *front) ready(w http.ResponseWriter, _ *http.Request) {
+	status := f.service.Status()
+	code := http.StatusOK
+	if !status.Ready || status.Draining {
+		code = http.StatusServiceUnavailable
+	}
+	writeJSON(w, code, status)
+}
+
+func (f *front) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(f.registry, w)
+}
--- /dev/null
+++ b/adapters/fronthttp/strict.go
@@ -0,0 +1,22 @@
+package fronthttp
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// strictJSON decodes one value and refuses unknown fields and trailing data.
+func strictJSON(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return eris.Errorf("body is not the expected JSON: %s", err.Error())
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return eris.New("body has data after its JSON value")
+	}
+	return nil
+}
--- /dev/null
+++ b/adapters/platformhttp/platformhttp.go
@@ -0,0 +1,152 @@
+// Package platformhttp is the plug-in that talks to the platform's log service
+// and instance list over HTTP with JSON.
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/teaselcleat/teaselcleat/kernel"
+	"github.com/teaselcleat/teaselcleat/platform"
+)
+
+const (
+	dialTimeout    = time.Second
+	maxAnswerBytes = 128 << 20
+)
+
+// AppendRequest is the body of POST /streams/NAME.
+type AppendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+// AppendReply answers an append.
+type AppendReply struct {
+	First int64 `json:"first"`
+}
+
+// ReadReply answers GET /streams/NAME?from=N&wait_ms=N. With status 410 only
+// First is set: the oldest record that is kept.
+type ReadReply struct {
+	First   int64    `json:"first"`
+	Records [][]byte `json:"records"`
+	End     int64    `json:"end"`
+}
+
+func init() {
+	kernel.Register(kernel.PointLog, "http", func(env *kernel.Env) (platform.Log, error) {
+		return New(env.Settings.PlatformAddress), nil
+	})
+	kernel.Register(kernel.PointInstanceList, "http", func(env *kernel.Env) (platform.InstanceList, error) {
+		return New(env.Settings.PlatformAddress), nil
+	})
+}
+
+// Client is both the log and the instance list of one platform.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the platform at a base URL.
+func New(base string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}
+	return &Client{base: base, http: &http.Client{Transport: transport}}
+}
+
+// Append implements platform.Log.
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	var reply AppendReply
+	status, err := c.call(ctx, http.MethodPost, "/streams/"+stream, AppendRequest{Records: records}, &reply)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, platform.ErrUnavailable
+	}
+	return reply.First, nil
+}
+
+// Read implements platform.Log.
+func (c *Client) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error) {
+	var reply ReadReply
+	path := fmt.Sprintf("/streams/%s?from=%d&wait_ms=%d", stream, from, wait.Milliseconds())
+	status, err := c.call(ctx, http.MethodGet, path, nil, &reply)
+	if err != nil {
+		return platform.Batch{}, err
+	}
+	if status == http.StatusGone {
+		return platform.Batch{}, &platform.RetentionError{First: reply.First}
+	}
+	if status != http.StatusOK {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return platform.Batch{First: reply.First, Records: reply.Records, End: reply.End}, nil
+}
+
+// List implements platform.InstanceList.
+func (c *Client) List(ctx context.Context) ([]platform.Listed, error) {
+	var list []platform.Listed
+	status, err := c.call(ctx, http.MethodGet, "/instances", nil, &list)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, platform.ErrUnavailable
+	}
+	return list, nil
+}
+
+// Announce implements platform.InstanceList.
+func (c *Client) Announce(ctx context.Context, self platform.Listed) error {
+	status, err := c.call(ctx, http.MethodPost, "/instances", self, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// call returns the status of an answer that could be read and decoded.
+func (c *Client) call(ctx context.Context, method, path string, message, answer any) (int, error) {
+	var body io.Reader
+	if message != nil {
+		data, err := json.Marshal(message)
+		if err != nil {
+			return 0, eris.Wrap(err, "platform message encoding")
+		}
+		body = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, eris.Wrap(err, "platform request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, platform.ErrUnavailable
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return 0, platform.ErrUnavailable
+	}
+	decodes := response.StatusCode == http.StatusOK || response.StatusCode == http.StatusGone
+	if answer == nil || !decodes {
+		return response.StatusCode, nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return 0, platform.ErrUnavailable
+	}
+	return response.StatusCode, nil
+}
--- /dev/null
+++ b/adapters/workerhttp/workerhttp.go
@@ -0,0 +1,131 @@
+// Package workerhttp is the plug-in that talks to workers over HTTP with JSON.
+package workerhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/teaselcleat/teaselcleat/kernel"
+	"github.com/teaselcleat/teaselcleat/worker"
+)
+
+// Paths of a worker's calls, all POST.
+const (
+	PathReserve = "/lease/reserve"
+	PathRenew   = "/lease/renew"
+	PathRelease = "/lease/release"
+	PathStart   = "/task/start"
+	PathStop    = "/task/stop"
+)
+
+// Refusal is the body of a worker's 409 answer.
+type Refusal struct {
+	Reason string `json:"reason"`
+}
+
+// Reasons in a Refusal.
+const (
+	RefusalStaleTerm = "stale_term"
+	RefusalNoRoom    = "no_room"
+	RefusalNoLease   = "no_lease"
+)
+
+const (
+	dialTimeout    = time.Second
+	maxAnswerBytes = 4 << 20
+)
+
+func init() {
+	kernel.Register(kernel.PointWorker, "http", func(*kernel.Env) (worker.Client, error) { return New(), nil })
+}
+
+// Client calls workers over pooled connections.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client without connections.
+func New() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4}}}
+}
+
+// Reserve implements worker.Client.
+func (c *Client) Reserve(ctx context.Context, address string, reserve worker.Reserve) error {
+	return c.call(ctx, address, PathReserve, reserve, nil)
+}
+
+// Start implements worker.Client.
+func (c *Client) Start(ctx context.Context, address string, order worker.Order) error {
+	return c.call(ctx, address, PathStart, order, nil)
+}
+
+// Stop implements worker.Client.
+func (c *Client) Stop(ctx context.Context, address string, order worker.Order) error {
+	return c.call(ctx, address, PathStop, order, nil)
+}
+
+// Release implements worker.Client.
+func (c *Client) Release(ctx context.Context, address string, order worker.Order) error {
+	return c.call(ctx, address, PathRelease, order, nil)
+}
+
+// Renew implements worker.Client.
+func (c *Client) Renew(ctx context.Context, address string, renew worker.Renew) (worker.State, error) {
+	var state worker.State
+	err := c.call(ctx, address, PathRenew, renew, &state)
+	return state, err
+}
+
+func (c *Client) call(ctx context.Context, address, path string, message, answer any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return eris.Wrap(err, "worker message encoding")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "worker request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "worker call")
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return eris.Wrap(err, "worker answer")
+	}
+	if response.StatusCode == http.StatusConflict {
+		return refusal(data)
+	}
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("worker answered status %d", response.StatusCode)
+	}
+	if answer == nil {
+		return nil
+	}
+	return eris.Wrap(json.Unmarshal(data, answer), "worker answer decoding")
+}
+
+func refusal(data []byte) error {
+	var stated Refusal
+	if err := json.Unmarshal(data, &stated); err != nil {
+		return eris.Wrap(err, "worker refusal decoding")
+	}
+	switch stated.Reason {
+	case RefusalStaleTerm:
+		return worker.ErrStaleTerm
+	case RefusalNoRoom:
+		return worker.ErrNoRoom
+	case RefusalNoLease:
+		return worker.ErrNoLease
+	}
+	return eris.Errorf("worker refused: %s", stated.Reason)
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,117 @@
+// Package command owns the command line: one file for each subcommand.
+package command
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"sort"
+
+	// The adapters of the shipped binary.
+	_ "github.com/teaselcleat/teaselcleat/adapters/all"
+)
+
+// Exit codes.
+const (
+	ExitDone   = 0 // the operation succeeded
+	ExitFailed = 1 // the operation failed
+	ExitUsage  = 2 // wrong usage or settings
+)
+
+// Version is what the version subcommand prints.
+const Version = "0.1.0"
+
+// output is where a subcommand writes.
+type output struct {
+	out io.Writer
+	err io.Writer
+}
+
+// subcommand is one entry of the command line.
+type subcommand struct {
+	usage string
+	run   func(args []string, to output) int
+}
+
+func subcommands() map[string]subcommand {
+	return map[string]subcommand{
+		"serve":    {"serve -config FILE: run one entry instance", runServe},
+		"dev":      {"dev [-demo]: run the whole system in one process on loopback", runDev},
+		"check":    {"check -config FILE: check a settings file", runCheck},
+		"submit":   {"submit [flags]: submit a request or a gang job", runSubmit},
+		"status":   {"status -addr ADDR ID: print a job's state", runStatus},
+		"cancel":   {"cancel -addr ADDR ID: cancel a job", runCancel},
+		"targets":  {"targets get|propose: read or change the operators' targets", runTargets},
+		"refusals": {"refusals -addr ADDR [-workspace W]: print recorded refusals", runRefusals},
+		"timeline": {"timeline [-job ID] [-workspace W] ADDR...: merge the events of processes", runTimeline},
+		"version":  {"version: print the version", runVersion},
+	}
+}
+
+// Main runs a subcommand and returns the exit code.
+func Main(args []string, out, err io.Writer) int {
+	to := output{out: out, err: err}
+	if len(args) == 0 {
+		printUsage(to)
+		return ExitUsage
+	}
+	chosen, known := subcommands()[args[0]]
+	if !known {
+		fmt.Fprintf(err, "teaselcleat: unknown command %q\n", args[0])
+		printUsage(to)
+		return ExitUsage
+	}
+	return chosen.run(args[1:], to)
+}
+
+func printUsage(to output) {
+	known := subcommands()
+	names := make([]string, 0, len(known))
+	for name := range known {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Fprintln(to.err, "usage: teaselcleat COMMAND [flags]")
+	for _, name := range names {
+		fmt.Fprintln(to.err, "  "+known[name].usage)
+	}
+}
+
+// newFlags returns a flag set that reports errors instead of exiting.
+func newFlags(name string, to output) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(to.err)
+	return flags
+}
+
+// parse reads flags and checks the number of arguments after them. ok is false
+// if the subcommand must return code.
+func parse(flags *flag.FlagSet, args []string, least, most int, to output) (code int, ok bool) {
+	err := flags.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitDone, false
+	}
+	if err != nil {
+		return ExitUsage, false
+	}
+	if flags.NArg() < least || flags.NArg() > most {
+		fmt.Fprintf(to.err, "%s: wrong number of arguments\n", flags.Name())
+		flags.Usage()
+		return ExitUsage, false
+	}
+	return ExitDone, true
+}
+
+func fail(to output, name string, err error) int {
+	fmt.Fprintf(to.err, "%s: %s\n", name, err.Error())
+	return ExitFailed
+}
+
+func runVersion(args []string, to output) int {
+	if code, ok := parse(newFlags("version", to), args, 0, 0, to); !ok {
+		return code
+	}
+	fmt.Fprintln(to.out, "teaselcleat "+Version)
+	return ExitDone
+}
--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,79 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/teaselcleat/teaselcleat/instance"
+	"github.com/teaselcleat/teaselcleat/settings"
+)
+
+// loadSettings reads a settings file; on failure it has printed every fault.
+func loadSettings(path string, to output) (*settings.Settings, int) {
+	loaded, err := settings.Load(path)
+	var faults *settings.FaultsError
+	if errors.As(err, &faults) {
+		fmt.Fprintln(to.err, faults.Error())
+		return nil, ExitUsage
+	}
+	if err != nil {
+		fmt.Fprintf(to.err, "%s: %s\n", path, err.Error())
+		return nil, ExitUsage
+	}
+	return loaded, ExitDone
+}
+
+func runCheck(args []string, to output) int {
+	flags := newFlags("check", to)
+	path := flags.String("config", "", "settings file")
+	if code, ok := parse(flags, args, 0, 0, to); !ok {
+		return code
+	}
+	if _, code := loadSettings(*path, to); code != ExitDone {
+		return code
+	}
+	fmt.Fprintln(to.out, "settings are valid")
+	return ExitDone
+}
+
+// newLog returns a logger that writes one line of key=value pairs an event.
+func newLog(to output, verbose bool) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(to.err)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	if verbose {
+		log.SetLevel(logrus.DebugLevel)
+	}
+	return log
+}
+
+func runServe(args []string, to output) int {
+	flags := newFlags("serve", to)
+	path := flags.String("config", "", "settings file")
+	verbose := flags.Bool("verbose", false, "log debugging events as well")
+	if code, ok := parse(flags, args, 0, 0, to); !ok {
+		return code
+	}
+	loaded, code := loadSettings(*path, to)
+	if code != ExitDone {
+		return code
+	}
+	built, err := instance.New(loaded, newLog(to, *verbose))
+	if err != nil {
+		return fail(to, "serve", err)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	built.Start()
+	fmt.Fprintf(to.out, "http=%s peer=%s\n", built.HTTPAddress(), built.PeerAddress())
+	<-signals
+	if !built.Stop() {
+		return ExitFailed
+	}
+	return ExitDone
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,234 @@
+// Package instance owns one entry instance: it joins the decisions of the pure
+// packages to the outside by duties, one goroutine each.
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/teaselcleat/teaselcleat/adapters/fronthttp"
+	"github.com/teaselcleat/teaselcleat/hlc"
+	"github.com/teaselcleat/teaselcleat/kernel"
+	"github.com/teaselcleat/teaselcleat/logstream"
+	"github.com/teaselcleat/teaselcleat/peers"
+	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/replica"
+	"github.com/teaselcleat/teaselcleat/settings"
+	"github.com/teaselcleat/teaselcleat/timeline"
+	"github.com/teaselcleat/teaselcleat/upstream"
+	"github.com/teaselcleat/teaselcleat/worker"
+)
+
+// lostAfter is how long an instance is silent before its claims count as held by nobody.
+const lostAfter = 15 * time.Second
+
+// Instance is one entry instance. It implements service.Service.
+type Instance struct {
+	settings *settings.Settings
+	boot     int64
+	holder   string
+	log      *logrus.Entry
+	events   *timeline.Recorder
+	registry metrics.Registry
+	now      func() time.Time
+	started  time.Time
+
+	platformLog platform.Log
+	list        platform.InstanceList
+	runner      upstream.Runner
+	workers     worker.Client
+
+	replica       *replica.Replica
+	ledgerWriter  *logstream.Writer
+	refusalWriter *logstream.Writer
+	ledgerTail    *logstream.Tailer
+	targetsTail   *logstream.Tailer
+	link          *peers.Link
+	bridge        *bridge
+	roster        *roster
+	dispatch      *dispatcher
+	placer        *placer
+	refusals      *refusalBook
+
+	restored    atomic.Bool  // the newest snapshot was looked for
+	snapshotAge atomic.Int64 // milliseconds, if started from a peer's snapshot
+	draining    atomic.Bool
+	inFlight    atomic.Int64
+
+	kernel       *kernel.Kernel
+	httpListener net.Listener
+	peerListener net.Listener
+	server       *http.Server
+}
+
+// New builds an instance from checked settings and opens its two listeners. The
+// adapters named in the settings must be registered.
+func New(s *settings.Settings, log *logrus.Logger) (*Instance, error) {
+	now := time.Now
+	boot := now().UnixMilli()
+	entry := log.WithField("instance", s.Name)
+	i := &Instance{
+		settings: s,
+		boot:     boot,
+		holder:   s.Name + "/" + strconv.FormatInt(boot, 10),
+		log:      entry,
+		events:   timeline.NewRecorder(s.Name, hlc.New(now), s.TimelineEvents),
+		registry: metrics.NewRegistry(),
+		now:      now,
+		started:  now(),
+		kernel:   kernel.New(entry),
+	}
+	if err := i.openAdapters(); err != nil {
+		return nil, err
+	}
+	if err := i.listen(); err != nil {
+		return nil, err
+	}
+	i.build()
+	return i, nil
+}
+
+func (i *Instance) openAdapters() error {
+	env := &kernel.Env{Settings: i.settings, Log: i.log, Timeline: i.events, Metrics: i.registry, Now: i.now}
+	var err error
+	if i.platformLog, err = kernel.Open[platform.Log](env, kernel.PointLog, i.settings.Adapter); err != nil {
+		return err
+	}
+	if i.list, err = kernel.Open[platform.InstanceList](env, kernel.PointInstanceList, i.settings.Adapter); err != nil {
+		return err
+	}
+	if i.runner, err = kernel.Open[upstream.Runner](env, kernel.PointRunner, i.settings.Adapter); err != nil {
+		return err
+	}
+	i.workers, err = kernel.Open[worker.Client](env, kernel.PointWorker, i.settings.Adapter)
+	return err
+}
+
+func (i *Instance) listen() error {
+	var err error
+	if i.httpListener, err = net.Listen("tcp", i.settings.HTTPAddress); err != nil {
+		return eris.Wrap(err, "HTTP listener")
+	}
+	if i.peerListener, err = net.Listen("tcp", i.settings.PeerAddress); err != nil {
+		i.httpListener.Close()
+		return eris.Wrap(err, "peer listener")
+	}
+	return nil
+}
+
+func (i *Instance) build() {
+	i.replica = replica.New(i.holder)
+	i.ledgerWriter = logstream.NewWriter(i.platformLog, platform.StreamLedger, i.settings.PendingRecords, i.registry)
+	i.refusalWriter = logstream.NewWriter(i.platformLog, platform.StreamRefusals, i.settings.PendingRecords, i.registry)
+	i.ledgerTail = logstream.NewTailer(i.platformLog, platform.StreamLedger, i.replica.LedgerSink(), i.now)
+	i.targetsTail = logstream.NewTailer(i.platformLog, platform.StreamTargets, i.replica.TargetsSink(), i.now)
+	i.refusals = newRefusalBook(i.refusalWriter, i.holder)
+	i.dispatch = newDispatcher(rand.Uint64())
+	i.bridge = newBridge(i)
+	i.link = peers.New(i.settings.Name, i.boot, i.events.Clock(), i.bridge.handle, i.log, i.now)
+	i.roster = newRoster(i)
+	i.placer = newPlacer(i)
+	i.replica.Observe(i)
+	i.server = &http.Server{Handler: fronthttp.Handler(i, i.registry), ReadHeaderTimeout: 10 * time.Second}
+	i.addDuties()
+}
+
+func (i *Instance) addDuties() {
+	i.kernel.AddDuty("peer_listener", func(ctx context.Context) { i.link.Serve(ctx, i.peerListener) })
+	i.kernel.AddDuty("roster", i.roster.run)
+	i.kernel.AddDuty("ledger_writer", i.ledgerWriter.Run)
+	i.kernel.AddDuty("refusal_writer", i.refusalWriter.Run)
+	i.kernel.AddDuty("streams", i.readStreams)
+	i.kernel.AddDuty("dispatcher", i.dispatch.run)
+	i.kernel.AddDuty("bridge", i.bridge.run)
+	i.kernel.AddDuty("placer", i.placer.run)
+	i.kernel.AddDuty("keeper", newKeeper(i).run)
+	i.kernel.AddDrainer("requests", i.drainRequests)
+	i.kernel.AddDrainer("placer", i.placer.drain)
+	i.kernel.AddDrainer("ledger_writer", i.ledgerWriter.Flush)
+	i.kernel.AddDrainer("refusal_writer", i.refusalWriter.Flush)
+}
+
+// Start runs the duties and serves HTTP. It returns at once.
+func (i *Instance) Start() {
+	i.kernel.Start()
+	go func() {
+		if err := i.server.Serve(i.httpListener); err != nil && !eris.Is(err, http.ErrServerClosed) {
+			i.log.WithField("error", err.Error()).Error("http_server_ended")
+		}
+	}()
+	i.log.WithField("http", i.HTTPAddress()).WithField("peer", i.PeerAddress()).WithField("boot", i.boot).Info("instance_started")
+}
+
+// HTTPAddress is the address the front listens on.
+func (i *Instance) HTTPAddress() string { return i.httpListener.Addr().String() }
+
+// PeerAddress is the address the peer link listens on.
+func (i *Instance) PeerAddress() string { return i.peerListener.Addr().String() }
+
+// Stop drains and ends the instance. It reports whether everything in progress
+// ended within the settings' time.
+func (i *Instance) Stop() bool {
+	i.draining.Store(true)
+	i.log.Info("draining")
+	i.events.Add("draining", i.settings.Name, "", "")
+	clean := i.kernel.Drain(i.settings.DrainWithin)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := i.server.Shutdown(ctx); err != nil {
+		i.server.Close()
+	}
+	i.kernel.Stop()
+	i.log.WithField("clean", clean).Info("stopped")
+	return clean
+}
+
+// Kill ends the instance without draining, as a crash would; for tests and the
+// dev command.
+func (i *Instance) Kill() {
+	i.server.Close()
+	i.kernel.Stop()
+}
+
+// drainRequests waits until no request is in progress. The instance keeps
+// serving callers meanwhile, since the balancer may not have noticed yet; new
+// requests are refused as not run.
+func (i *Instance) drainRequests(ctx context.Context) error {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for i.inFlight.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// ready reports whether the folds are usable: read to the end, or taken from a
+// peer while the log is out.
+func (i *Instance) ready() bool {
+	if i.replica.Gap() {
+		return false
+	}
+	return i.snapshotAge.Load() > 0 || (i.ledgerTail.CaughtUp() && i.targetsTail.CaughtUp())
+}
+
+// logAvailable reports whether appends are answered and the fold is fresh
+// enough for them to be read back.
+func (i *Instance) logAvailable() bool {
+	return i.ledgerWriter.Available() && i.ledgerTail.CaughtUp() && i.ledgerTail.Staleness() < staleAfter
+}
+
+// staleAfter is how long a healthy long poll may go unanswered.
+const staleAfter = 4 * time.Second
--- /dev/null
+++ b/instance/jobs.go
@@ -0,0 +1,292 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/scheduler"
+	"github.com/teaselcleat/teaselcleat/service"
+	"github.com/teaselcleat/teaselcleat/structs"
+	"github.com/teaselcleat/teaselcleat/targets"
+	"github.com/teaselcleat/teaselcleat/timeline"
+)
+
+// pollFold is how often a waiting caller looks at the fold.
+const pollFold = 5 * time.Millisecond
+
+// SubmitJob implements service.Service.
+func (i *Instance) SubmitJob(ctx context.Context, request service.JobRequest) structs.Reply {
+	i.inFlight.Add(1)
+	defer i.inFlight.Add(-1)
+	job, reply := i.admitJob(request)
+	if reply != nil {
+		return i.refuseJob(request, *reply)
+	}
+	if existing := i.replica.Job(job.ID); existing != nil {
+		return i.sameJob(request, job, existing)
+	}
+	ruled := i.replica.AwaitSubmit(job.ID)
+	gaveUp := make(chan struct{})
+	defer close(gaveUp)
+	if !i.appendRecord(&structs.Record{Kind: structs.RecordSubmit, Submit: job}, closed(gaveUp)) {
+		return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonLogUnavailable, RetryAfter: retryRefused})
+	}
+	select {
+	case why := <-ruled:
+		return i.submitRuled(request, job, why)
+	case <-time.After(i.settings.ClaimWait):
+	case <-ctx.Done():
+	}
+	return i.withdrawJob(request, job)
+}
+
+func closed(channel <-chan struct{}) func() bool {
+	return func() bool {
+		select {
+		case <-channel:
+			return true
+		default:
+			return false
+		}
+	}
+}
+
+// withdrawJob refuses a job whose submission was not read back. Should it stand
+// in the log after all, the cancellation that follows it ends it.
+func (i *Instance) withdrawJob(request service.JobRequest, job *structs.Job) structs.Reply {
+	i.appendRecord(&structs.Record{Kind: structs.RecordCancel, Cancel: &structs.Cancel{Job: job.ID}}, nil)
+	return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonLogUnavailable, ID: job.ID, RetryAfter: 2 * time.Second})
+}
+
+func (i *Instance) submitRuled(request service.JobRequest, job *structs.Job, why ledger.VoidReason) structs.Reply {
+	switch why {
+	case ledger.VoidNone:
+		i.events.Add("job_accepted", job.ID, job.Key.Workspace, job.Shape.String())
+		return structs.Reply{Outcome: structs.OutcomeAccepted, ID: job.ID}
+	case ledger.VoidExpired:
+		return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonKeyExpired})
+	case ledger.VoidFull:
+		return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonJobTableFull, RetryAfter: time.Minute})
+	}
+	if existing := i.replica.Job(job.ID); existing != nil {
+		return i.sameJob(request, job, existing)
+	}
+	return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonKeyExpired})
+}
+
+// sameJob answers a submission whose key was used before.
+func (i *Instance) sameJob(request service.JobRequest, job *structs.Job, existing *ledger.JobEntry) structs.Reply {
+	if existing.Job.Digest != job.Digest {
+		return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonKeyConflict})
+	}
+	return structs.Reply{Outcome: structs.OutcomeAccepted, ID: job.ID}
+}
+
+func (i *Instance) refuseJob(request service.JobRequest, reply structs.Reply) structs.Reply {
+	i.events.Add("job_"+string(reply.Outcome), request.Key, request.Workspace, string(reply.Reason))
+	i.refusals.add(structs.Refusal{
+		Subject: request.Key, Workspace: request.Workspace, Class: request.Class, Outcome: reply.Outcome,
+		Reason: reply.Reason, AtMS: i.now().UnixMilli(), RetryAfter: int64(reply.RetryAfter / time.Second),
+	})
+	return reply
+}
+
+// admitJob checks what can be judged at once.
+func (i *Instance) admitJob(request service.JobRequest) (*structs.Job, *structs.Reply) {
+	refuse := func(reason structs.Reason, retryAfter time.Duration, detail string) (*structs.Job, *structs.Reply) {
+		return nil, &structs.Reply{Outcome: structs.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter, Detail: detail}
+	}
+	switch {
+	case i.draining.Load():
+		return refuse(structs.ReasonDraining, retryRefused, "")
+	case !i.ready():
+		return refuse(structs.ReasonNotReady, retryRefused, "")
+	case !i.logAvailable():
+		return refuse(structs.ReasonLogUnavailable, retryRefused, "")
+	case !plainName(request.Key, false):
+		return refuse(structs.ReasonBadRequest, 0, "key must be 1 to 128 printable characters without spaces or slashes")
+	case len(request.Payload) > service.MaxPayloadBytes:
+		return refuse(structs.ReasonTooLarge, 0, "payload is over the limit")
+	case request.DeclaredS < 0:
+		return refuse(structs.ReasonBadRequest, 0, "declared_s must not be negative")
+	}
+	if err := request.Shape.Validate(); err != nil {
+		return refuse(structs.ReasonBadRequest, 0, err.Error())
+	}
+	inForce, _ := i.replica.Targets()
+	class, known := inForce.Classes[request.Class]
+	if !known {
+		return refuse(structs.ReasonUnknownClass, 0, "")
+	}
+	if _, known := inForce.Workspaces[request.Workspace]; !known {
+		return refuse(structs.ReasonUnknownWorkspace, 0, "")
+	}
+	if workers := i.workerSpecs(); len(workers) > 0 && !scheduler.CouldEverFit(workers, request.Shape) {
+		return refuse(structs.ReasonImpossibleShape, 0, "no inventory of this cell holds "+request.Shape.String())
+	}
+	key := structs.KeyID{Workspace: request.Workspace, Key: request.Key}
+	return &structs.Job{
+		ID: jobID(key), Key: key, Class: request.Class, Shape: request.Shape, DeclaredS: request.DeclaredS,
+		SubmitMS: i.now().UnixMilli(), Digest: digestOf(request), Payload: request.Payload, Idempotent: class.Idempotent,
+	}, nil
+}
+
+// jobID is the same for the same workspace and key at every instance.
+func jobID(key structs.KeyID) string {
+	return "j" + strconv.FormatUint(xxhash.Sum64String(key.Workspace+"\x00"+key.Key), 36)
+}
+
+func digestOf(request service.JobRequest) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%v\x00%d\x00%s", request.Class, request.Shape, request.DeclaredS, request.Payload))
+}
+
+// Job implements service.Service.
+func (i *Instance) Job(id string) *service.JobState {
+	entry := i.replica.Job(id)
+	if entry == nil {
+		return nil
+	}
+	return &service.JobState{
+		ID: entry.Job.ID, Workspace: entry.Job.Key.Workspace, Class: entry.Job.Class, Shape: entry.Job.Shape,
+		Phase: entry.Phase, Outcome: entry.Outcome, Reason: entry.Reason, Detail: entry.Detail,
+		Members: entry.Members, SubmitMS: entry.Job.SubmitMS, StartMS: entry.StartMS, EndMS: entry.EndMS,
+	}
+}
+
+// CancelJob implements service.Service.
+func (i *Instance) CancelJob(ctx context.Context, id string) structs.Reply {
+	entry := i.replica.Job(id)
+	if entry == nil {
+		return structs.Reply{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonNotFound}
+	}
+	if !i.logAvailable() {
+		return structs.Reply{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonLogUnavailable, RetryAfter: retryRefused}
+	}
+	i.appendRecord(&structs.Record{Kind: structs.RecordCancel, Cancel: &structs.Cancel{Job: id}}, nil)
+	ctx, cancel := context.WithTimeout(ctx, i.settings.ClaimWait)
+	defer cancel()
+	for pause(ctx, pollFold) {
+		entry = i.replica.Job(id)
+		if entry == nil || entry.Cancelled || entry.Phase == ledger.JobEnded {
+			return structs.Reply{Outcome: structs.OutcomeAccepted, ID: id}
+		}
+	}
+	return structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonLogUnavailable, RetryAfter: retryRefused}
+}
+
+// Targets implements service.Service.
+func (i *Instance) Targets() service.Document {
+	text, version := i.replica.Document()
+	return service.Document{Version: version, Text: text}
+}
+
+// Propose implements service.Service. What can be judged before the proposal is
+// published is judged here; whose proposal comes first is the log's word.
+func (i *Instance) Propose(ctx context.Context, proposal service.Document) (structs.Reply, int64) {
+	_, version := i.replica.Document()
+	refuse := func(reason structs.Reason, detail string) (structs.Reply, int64) {
+		return structs.Reply{Outcome: structs.OutcomeNotRun, Reason: reason, Detail: detail}, version
+	}
+	parsed, err := targets.Parse(proposal.Text)
+	if err != nil {
+		return refuse(structs.ReasonInvalidTargets, err.Error())
+	}
+	if proposal.Version != version {
+		return refuse(structs.ReasonVersionConflict, "the version in force is "+strconv.FormatInt(version, 10))
+	}
+	if workers := i.workerSpecs(); len(workers) > 0 {
+		if unfit := scheduler.CheckGuarantees(workers, parsed); len(unfit) > 0 {
+			return refuse(structs.ReasonGuaranteeUnfit, fmt.Sprintf("workspace %q: %s does not fit beside the other guarantees", unfit[0].Workspace, unfit[0].Shape))
+		}
+	}
+	id := i.newID()
+	ruled := i.replica.AwaitProposal(id)
+	data, err := json.Marshal(structs.Proposal{ID: id, Base: proposal.Version, Document: proposal.Text, AtMS: i.now().UnixMilli()})
+	if err != nil {
+		return refuse(structs.ReasonInvalidTargets, err.Error())
+	}
+	return i.publish(ctx, data, ruled, version)
+}
+
+// publish appends a proposal and waits for the fold's ruling. An unanswered
+// append is not repeated: the fold shows whether it took effect.
+func (i *Instance) publish(ctx context.Context, data []byte, ruled <-chan targets.Decision, version int64) (structs.Reply, int64) {
+	ctx, cancel := context.WithTimeout(ctx, i.settings.ClaimWait)
+	defer cancel()
+	_, appendErr := i.platformLog.Append(ctx, platform.StreamTargets, [][]byte{data})
+	select {
+	case decision := <-ruled:
+		if decision.Accepted {
+			i.events.Add("targets_accepted", strconv.FormatInt(decision.Version, 10), "", "")
+			return structs.Reply{Outcome: structs.OutcomeAccepted}, decision.Version
+		}
+		return structs.Reply{Outcome: structs.OutcomeNotRun, Reason: decision.Reason, Detail: decision.Detail}, decision.Version
+	case <-ctx.Done():
+	}
+	detail := "the proposal was not read back; look at the version in force before proposing again"
+	if appendErr != nil {
+		detail = "the log did not answer; look at the version in force before proposing again"
+	}
+	return structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonLogUnavailable, Detail: detail, RetryAfter: retryRefused}, version
+}
+
+func (i *Instance) workerSpecs() []scheduler.WorkerSpec {
+	workers, _ := i.roster.Workers()
+	return specsOf(workers)
+}
+
+// Refusals implements service.Service by reading what the log retains.
+func (i *Instance) Refusals(ctx context.Context, workspace string) ([]structs.Refusal, error) {
+	seen := map[string]bool{}
+	list := []structs.Refusal{}
+	next := int64(0)
+	for {
+		batch, err := i.platformLog.Read(ctx, platform.StreamRefusals, next, 0)
+		if gone, ok := err.(*platform.RetentionError); ok {
+			next = gone.First
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, data := range batch.Records {
+			var refusal structs.Refusal
+			if json.Unmarshal(data, &refusal) != nil || seen[refusal.ID] {
+				continue
+			}
+			seen[refusal.ID] = true
+			if workspace == "" || refusal.Workspace == workspace {
+				list = append(list, refusal)
+			}
+		}
+		next = batch.First + int64(len(batch.Records))
+		if next >= batch.End || len(batch.Records) == 0 {
+			return list, nil
+		}
+	}
+}
+
+// Events implements service.Service.
+func (i *Instance) Events(filter timeline.Filter) ([]timeline.Event, int64) {
+	return i.events.Events(filter)
+}
+
+// Status implements service.Service.
+func (i *Instance) Status() service.Status {
+	_, version := i.replica.Targets()
+	term := i.replica.Term()
+	return service.Status{
+		Name: i.settings.Name, Boot: i.boot, Ready: i.ready(), Draining: i.draining.Load(), TargetsVersion: version,
+		Term: term.Number, TermHolder: term.Holder, LogAvailable: i.logAvailable(), SnapshotAgeMS: i.snapshotAge.Load(),
+	}
+}
+
+// MaxBody implements service.Service.
+func (i *Instance) MaxBody() int64 { return i.settings.MaxBodyBytes }
--- /dev/null
+++ b/ledger/snapshot.go
@@ -0,0 +1,175 @@
+package ledger
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"hash/crc32"
+	"io"
+	"sort"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/teaselcleat/teaselcleat/structs"
+)
+
+// PartBytes is the largest piece of a snapshot that is appended as one record.
+const PartBytes = 192 << 10
+
+// Snapshot is the folded state of both streams with the offsets it covers.
+type Snapshot struct {
+	AtMS            int64 // wall clock of the writing instance
+	LedgerNext      int64
+	TargetsNext     int64
+	TargetsVersion  int64
+	TargetsDocument string
+	TargetsLastID   string
+	Term            structs.Term
+	PrunedBefore    int64
+	Keys            []*KeyEntry
+	Jobs            []*JobEntry
+}
+
+// Part is one record of the snapshot stream. A snapshot counts only if all of
+// its parts are read and their checksum agrees.
+type Part struct {
+	ID       string `json:"id"`
+	Index    int    `json:"index"`
+	Count    int    `json:"count"`
+	Checksum uint32 `json:"checksum"` // CRC-32 (IEEE) of the whole encoded snapshot
+	Data     []byte `json:"data"`
+}
+
+// Fill copies the ledger's state into a snapshot, in a fixed order. The entries
+// are copies, so that the state may change while the snapshot is encoded.
+func (s *State) Fill(snapshot *Snapshot) {
+	snapshot.LedgerNext = s.Next
+	snapshot.Term = s.Term
+	snapshot.PrunedBefore = s.PrunedBefore
+	for _, entry := range s.Keys {
+		copied := *entry
+		snapshot.Keys = append(snapshot.Keys, &copied)
+	}
+	sort.Slice(snapshot.Keys, func(i, j int) bool {
+		return lessKey(snapshot.Keys[i].Claim.Key, snapshot.Keys[j].Claim.Key)
+	})
+	for _, entry := range s.Jobs {
+		copied := *entry
+		copied.Blamed = append([]string(nil), entry.Blamed...)
+		snapshot.Jobs = append(snapshot.Jobs, &copied)
+	}
+	sort.Slice(snapshot.Jobs, func(i, j int) bool { return snapshot.Jobs[i].Job.ID < snapshot.Jobs[j].Job.ID })
+}
+
+func lessKey(a, b structs.KeyID) bool {
+	if a.Workspace != b.Workspace {
+		return a.Workspace < b.Workspace
+	}
+	return a.Key < b.Key
+}
+
+// Restore replaces the state by the snapshot's.
+func (s *State) Restore(snapshot *Snapshot) {
+	*s = *New()
+	s.Next = snapshot.LedgerNext
+	s.Term = snapshot.Term
+	s.PrunedBefore = snapshot.PrunedBefore
+	for _, entry := range snapshot.Keys {
+		s.Keys[entry.Claim.Key] = entry
+	}
+	for _, entry := range snapshot.Jobs {
+		s.Jobs[entry.Job.ID] = entry
+	}
+}
+
+// Encode turns a snapshot into compressed bytes.
+func Encode(snapshot *Snapshot) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "snapshot compressor")
+	}
+	if err := json.NewEncoder(writer).Encode(snapshot); err != nil {
+		return nil, eris.Wrap(err, "snapshot encoding")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, eris.Wrap(err, "snapshot compression")
+	}
+	return buffer.Bytes(), nil
+}
+
+// Decode reads what Encode wrote.
+func Decode(data []byte) (*Snapshot, error) {
+	plain, err := io.ReadAll(flate.NewReader(bytes.NewReader(data)))
+	if err != nil {
+		return nil, eris.Wrap(err, "snapshot decompression")
+	}
+	snapshot := &Snapshot{}
+	if err := json.Unmarshal(plain, snapshot); err != nil {
+		return nil, eris.Wrap(err, "snapshot decoding")
+	}
+	return snapshot, nil
+}
+
+// Split cuts an encoded snapshot into parts for the snapshot stream.
+func Split(id string, data []byte) []Part {
+	count := (len(data) + PartBytes - 1) / PartBytes
+	parts := make([]Part, 0, count)
+	for index := range count {
+		low := index * PartBytes
+		high := min(low+PartBytes, len(data))
+		parts = append(parts, Part{ID: id, Index: index, Count: count, Checksum: crc32.ChecksumIEEE(data), Data: data[low:high]})
+	}
+	return parts
+}
+
+// Assembler collects parts in stream order and keeps the newest whole snapshot.
+type Assembler struct {
+	open   map[string]map[int][]byte
+	newest *Snapshot
+}
+
+// NewAssembler returns an assembler that has seen no part.
+func NewAssembler() *Assembler {
+	return &Assembler{open: map[string]map[int][]byte{}}
+}
+
+// Add takes one part. Parts of a damaged snapshot are passed over.
+func (a *Assembler) Add(part Part) {
+	if part.Count < 1 || part.Index < 0 || part.Index >= part.Count {
+		return
+	}
+	id := part.ID + "/" + strconv.FormatUint(uint64(part.Checksum), 16)
+	pieces := a.open[id]
+	if pieces == nil {
+		pieces = map[int][]byte{}
+		a.open[id] = pieces
+	}
+	pieces[part.Index] = part.Data
+	if len(pieces) < part.Count {
+		return
+	}
+	delete(a.open, id)
+	a.finish(pieces, part)
+}
+
+func (a *Assembler) finish(pieces map[int][]byte, last Part) {
+	var data []byte
+	for index := range last.Count {
+		data = append(data, pieces[index]...)
+	}
+	if crc32.ChecksumIEEE(data) != last.Checksum {
+		return
+	}
+	snapshot, err := Decode(data)
+	if err != nil {
+		return
+	}
+	if a.newest == nil || snapshot.LedgerNext >= a.newest.LedgerNext {
+		a.newest = snapshot
+	}
+}
+
+// Newest is the newest whole snapshot seen, or nil.
+func (a *Assembler) Newest() *Snapshot { return a.newest }
--- /dev/null
+++ b/peers/link.go
@@ -0,0 +1,376 @@
+// Package peers owns the traffic between instances: one yamux session to each
+// other instance, carrying length-prefixed protobuf envelopes. What peers say
+// speeds things up and bridges outages of the log; nothing is agreed here.
+package peers
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/teaselcleat/teaselcleat/hlc"
+	"github.com/teaselcleat/teaselcleat/peers/peerpb"
+	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/ring"
+)
+
+// Limits of the link.
+const (
+	maxEnvelopeBytes = 64 << 20
+	outgoingCapacity = 256
+	dialTimeout      = 2 * time.Second
+	redialAfter      = 300 * time.Millisecond
+	writeTimeout     = 5 * time.Second
+	requestTimeout   = 10 * time.Second
+)
+
+// Handler takes a message and may return a reply.
+type Handler func(envelope *peerpb.Envelope) *peerpb.Envelope
+
+// Seen is what is known of another instance from its messages.
+type Seen struct {
+	Boot     int64
+	At       time.Time
+	Draining bool
+	Version  int64 // of the targets in force there
+}
+
+// Link is this instance's side. It is safe for concurrent use.
+type Link struct {
+	self    string
+	boot    int64
+	clock   *hlc.Clock
+	handler Handler
+	log     *logrus.Entry
+	now     func() time.Time
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	seen  map[string]Seen
+}
+
+type peer struct {
+	address  string
+	outgoing *ring.Ring[*peerpb.Envelope]
+	cancel   context.CancelFunc
+	session  *yamux.Session // nil while not connected
+}
+
+// New returns a link that knows no other instance.
+func New(self string, boot int64, clock *hlc.Clock, handler Handler, log *logrus.Entry, now func() time.Time) *Link {
+	return &Link{self: self, boot: boot, clock: clock, handler: handler, log: log, now: now,
+		peers: map[string]*peer{}, seen: map[string]Seen{}}
+}
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	config.EnableKeepAlive = true
+	config.KeepAliveInterval = 5 * time.Second
+	config.ConnectionWriteTimeout = writeTimeout
+	return config
+}
+
+// Serve accepts sessions until ctx ends; it is a duty.
+func (l *Link) Serve(ctx context.Context, listener net.Listener) {
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		sessions.Add(1)
+		go func() {
+			defer sessions.Done()
+			l.serveSession(ctx, conn)
+		}()
+	}
+}
+
+func (l *Link) serveSession(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	defer session.Close()
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		streams.Add(1)
+		go func() {
+			defer streams.Done()
+			defer stream.Close()
+			l.serveStream(stream)
+		}()
+	}
+}
+
+func (l *Link) serveStream(stream net.Conn) {
+	reader := bufio.NewReader(stream)
+	for {
+		envelope, err := readEnvelope(reader)
+		if err != nil {
+			return
+		}
+		l.observe(envelope)
+		reply := l.handler(envelope)
+		if reply == nil {
+			continue
+		}
+		if err := l.write(stream, reply); err != nil {
+			return
+		}
+	}
+}
+
+func (l *Link) observe(envelope *peerpb.Envelope) {
+	if stamp := envelope.GetStamp(); stamp != nil {
+		l.clock.Observe(hlc.Stamp{WallMS: stamp.GetWallMs(), Counter: stamp.GetCounter()})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.seen[envelope.GetSender()]
+	if envelope.GetBoot() < known.Boot {
+		return
+	}
+	known.Boot = envelope.GetBoot()
+	known.At = l.now()
+	if heartbeat := envelope.GetHeartbeat(); heartbeat != nil {
+		known.Draining = heartbeat.GetDraining()
+		known.Version = heartbeat.GetTargetsVersion()
+	}
+	l.seen[envelope.GetSender()] = known
+}
+
+// Update sets the instances to be connected to, from the platform's list.
+func (l *Link) Update(ctx context.Context, list []platform.Listed) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wanted := map[string]string{}
+	for _, entry := range list {
+		if entry.Role == platform.RoleInstance && entry.ID != l.self && entry.PeerAddress != "" {
+			wanted[entry.ID] = entry.PeerAddress
+		}
+	}
+	for name, known := range l.peers {
+		if wanted[name] != known.address {
+			known.cancel()
+			delete(l.peers, name)
+		}
+	}
+	for name, address := range wanted {
+		if l.peers[name] == nil {
+			l.connect(ctx, name, address)
+		}
+	}
+}
+
+func (l *Link) connect(ctx context.Context, name, address string) {
+	ctx, cancel := context.WithCancel(ctx)
+	added := &peer{address: address, outgoing: ring.New[*peerpb.Envelope](outgoingCapacity), cancel: cancel}
+	l.peers[name] = added
+	go l.keepConnected(ctx, added)
+}
+
+func (l *Link) keepConnected(ctx context.Context, p *peer) {
+	for ctx.Err() == nil {
+		l.runSession(ctx, p)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialAfter):
+		}
+	}
+}
+
+func (l *Link) runSession(ctx context.Context, p *peer) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer session.Close()
+	stream, err := session.OpenStream()
+	if err != nil {
+		return
+	}
+	l.setSession(p, session)
+	defer l.setSession(p, nil)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		<-session.CloseChan()
+		cancel()
+	}()
+	for {
+		envelope, ok := p.outgoing.Take(ctx)
+		if !ok {
+			return
+		}
+		if err := l.write(stream, envelope); err != nil {
+			return
+		}
+	}
+}
+
+func (l *Link) setSession(p *peer, session *yamux.Session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.session = session
+}
+
+// Broadcast queues a message to every connected instance and returns to how
+// many. An instance whose queue is full misses it.
+func (l *Link) Broadcast(envelope *peerpb.Envelope) int {
+	return l.sendUpTo(len(l.Connected()), envelope)
+}
+
+// SendUpTo queues a message to at most limit connected instances, the first by
+// name after this one, so that copies spread evenly. It returns to how many.
+func (l *Link) SendUpTo(limit int, envelope *peerpb.Envelope) int { return l.sendUpTo(limit, envelope) }
+
+func (l *Link) sendUpTo(limit int, envelope *peerpb.Envelope) int {
+	names := l.Connected()
+	start := 0
+	for start < len(names) && names[start] < l.self {
+		start++
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent := 0
+	for i := range names {
+		p := l.peers[names[(start+i)%len(names)]]
+		if sent < limit && p != nil && p.outgoing.Offer(envelope) {
+			sent++
+		}
+	}
+	return sent
+}
+
+// Request sends one message to a connected instance and waits for its reply.
+func (l *Link) Request(name string, envelope *peerpb.Envelope) (*peerpb.Envelope, error) {
+	l.mu.Lock()
+	p := l.peers[name]
+	var session *yamux.Session
+	if p != nil {
+		session = p.session
+	}
+	l.mu.Unlock()
+	if session == nil {
+		return nil, eris.Errorf("instance %s is not connected", name)
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, eris.Wrap(err, "peer stream")
+	}
+	defer stream.Close()
+	if err := stream.SetDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return nil, eris.Wrap(err, "peer stream deadline")
+	}
+	if err := l.write(stream, envelope); err != nil {
+		return nil, err
+	}
+	reply, err := readEnvelope(bufio.NewReader(stream))
+	if err != nil {
+		return nil, err
+	}
+	l.observe(reply)
+	return reply, nil
+}
+
+// Connected lists the instances with a working session, in order.
+func (l *Link) Connected() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var names []string
+	for name, p := range l.peers {
+		if p.session != nil {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Seen returns what is known of an instance; ok is false if it never spoke.
+func (l *Link) Seen(name string) (Seen, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen, ok := l.seen[name]
+	return seen, ok
+}
+
+// SeenAll returns what is known of every instance that ever spoke.
+func (l *Link) SeenAll() map[string]Seen {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make(map[string]Seen, len(l.seen))
+	for name, seen := range l.seen {
+		all[name] = seen
+	}
+	return all
+}
+
+// write stamps and sends an envelope; the envelope itself is not changed, since
+// several sessions may send it at once.
+func (l *Link) write(writer io.Writer, envelope *peerpb.Envelope) error {
+	now := l.clock.Now()
+	stamped := &peerpb.Envelope{
+		Stamp:  &peerpb.Stamp{WallMs: now.WallMS, Counter: now.Counter},
+		Sender: l.self,
+		Boot:   l.boot,
+		Body:   envelope.GetBody(),
+	}
+	data, err := proto.Marshal(stamped)
+	if err != nil {
+		return eris.Wrap(err, "peer message encoding")
+	}
+	framed := binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), uint32(len(data)))
+	framed = append(framed, data...)
+	_, err = writer.Write(framed)
+	return eris.Wrap(err, "peer message write")
+}
+
+func readEnvelope(reader *bufio.Reader) (*peerpb.Envelope, error) {
+	var header [4]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return nil, eris.Wrap(err, "peer message header")
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > maxEnvelopeBytes {
+		return nil, eris.Errorf("peer message of %d bytes is over the limit", size)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(reader, data); err != nil {
+		return nil, eris.Wrap(err, "peer message body")
+	}
+	envelope := &peerpb.Envelope{}
+	if err := proto.Unmarshal(data, envelope); err != nil {
+		return nil, eris.Wrap(err, "peer message decoding")
+	}
+	return envelope, nil
+}
--- /dev/null
+++ b/requests/machine.go
@@ -0,0 +1,404 @@
+// Package requests owns the decisions about one request: when it may be sent,
+// when it may be tried again and what its caller may truthfully be told. The
+// machine is pure: Step takes an event and the time and returns actions; the
+// executor in package instance carries them out.
+package requests
+
+import (
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/structs"
+)
+
+// Limits of one request.
+const (
+	// MaxAttempts bounds the tries of one request, whatever the retry budget says.
+	MaxAttempts = 4
+	// ClaimValid is the longest time from a claim's creation to its first byte
+	// sent. A holder that was paused longer gives the claim back, since others
+	// may already have called its end unknown.
+	ClaimValid = 10 * time.Second
+	// MaxKeptAnswer is the largest answer that is kept with its key, in bytes.
+	MaxKeptAnswer = 16 << 10
+	// retryLater is told to callers when nothing better is known.
+	retryLater = 2 * time.Second
+)
+
+// Spec is what is known of a request at its arrival.
+type Spec struct {
+	Key        structs.KeyID // empty Key.Key means that the caller gave none
+	Class      string
+	Idempotent bool
+	Digest     uint64
+	Deadline   time.Time
+}
+
+// Event is something that happened to the request.
+type Event interface{ isEvent() }
+
+// Started is the first event.
+type Started struct{}
+
+// ClaimRead says how the claim stands in the fold. Entry is the key's entry, or
+// nil if the claim could not be read back.
+type ClaimRead struct {
+	Entry  *ledger.KeyEntry
+	Reason structs.Reason // why Entry is nil
+	// Appended says that the claim was handed to the log, so it may stand there
+	// although it was not read back.
+	Appended bool
+	// HolderLost says that the entry's holder is gone and its end is recorded as unknown.
+	HolderLost bool
+}
+
+// RunnerPicked gives the request a slot of a runner.
+type RunnerPicked struct{ Runner string }
+
+// RunnerRefused says that no slot can be had in time.
+type RunnerRefused struct {
+	Reason     structs.Reason
+	RetryAfter time.Duration
+}
+
+// AttemptKind says how far an attempt came.
+type AttemptKind int
+
+// Kinds of attempt results.
+const (
+	// AttemptNotSent means no byte of the request left this process.
+	AttemptNotSent AttemptKind = iota + 1
+	// AttemptRefused means the runner itself said it did not start.
+	AttemptRefused
+	// AttemptAnswered means the whole answer of this very attempt arrived.
+	AttemptAnswered
+	// AttemptBroken means bytes were sent and no whole answer arrived.
+	AttemptBroken
+)
+
+// AttemptEnded is the result of the attempt that was sent last.
+type AttemptEnded struct {
+	Kind       AttemptKind
+	Reason     structs.Reason
+	Status     int
+	Answer     []byte
+	RetryAfter time.Duration
+	// RetryAllowed is the retry budget's word, asked once for each failed attempt.
+	RetryAllowed bool
+}
+
+// DeadlinePassed says that the caller's time is over.
+type DeadlinePassed struct{}
+
+// CallerGone says that the caller closed its connection.
+type CallerGone struct{}
+
+func (Started) isEvent()        {}
+func (ClaimRead) isEvent()      {}
+func (RunnerPicked) isEvent()   {}
+func (RunnerRefused) isEvent()  {}
+func (AttemptEnded) isEvent()   {}
+func (DeadlinePassed) isEvent() {}
+func (CallerGone) isEvent()     {}
+
+// Action is something the executor must do, in the order given.
+type Action interface{ isAction() }
+
+// AppendClaim asks for the claim to be appended and read back (ClaimRead).
+type AppendClaim struct{}
+
+// Pick asks for a runner's slot (RunnerPicked or RunnerRefused).
+type Pick struct{ Exclude []string }
+
+// Send asks for an attempt (AttemptEnded).
+type Send struct {
+	Runner  string
+	Attempt int
+}
+
+// Abandon ends what is being waited for. An attempt's connection must be closed.
+type Abandon struct{}
+
+// AppendRelease asks for the claim to be given back.
+type AppendRelease struct{ Reason structs.Reason }
+
+// AppendComplete asks for the claim's end to be recorded.
+type AppendComplete struct {
+	Outcome structs.Outcome
+	Reason  structs.Reason
+	Status  int
+	Answer  []byte
+	Kept    bool
+}
+
+// Finish gives the caller its final answer. Ran answers are relayed as they are.
+type Finish struct {
+	Outcome    structs.Outcome
+	Reason     structs.Reason
+	Status     int
+	Answer     []byte
+	Replayed   bool // the answer is a kept one of an earlier request
+	RetryAfter time.Duration
+}
+
+func (AppendClaim) isAction()    {}
+func (Pick) isAction()           {}
+func (Send) isAction()           {}
+func (Abandon) isAction()        {}
+func (AppendRelease) isAction()  {}
+func (AppendComplete) isAction() {}
+func (Finish) isAction()         {}
+
+type phase int
+
+const (
+	phaseNew phase = iota
+	phaseClaiming
+	phasePicking
+	phaseSending
+	phaseDone
+)
+
+// Machine is the state of one request.
+type Machine struct {
+	spec      Spec
+	claimID   string
+	phase     phase
+	claimedAt time.Time
+	claimed   bool
+	attempts  int
+	sent      bool // bytes of some attempt may have reached a runner
+	tried     []string
+	last      AttemptEnded
+}
+
+// New returns the machine of a request. claimID must be unique.
+func New(spec Spec, claimID string) *Machine {
+	return &Machine{spec: spec, claimID: claimID}
+}
+
+// Done reports whether the final answer was given.
+func (m *Machine) Done() bool { return m.phase == phaseDone }
+
+// Step takes an event. Events that come after the end, or that belong to
+// something already given up, change nothing.
+func (m *Machine) Step(event Event, now time.Time) []Action {
+	if m.phase == phaseDone {
+		return nil
+	}
+	switch e := event.(type) {
+	case Started:
+		return m.start(now)
+	case ClaimRead:
+		return m.claimRead(e, now)
+	case RunnerPicked:
+		return m.runnerPicked(e, now)
+	case RunnerRefused:
+		return m.runnerRefused(e)
+	case AttemptEnded:
+		return m.attemptEnded(e, now)
+	case DeadlinePassed:
+		return m.giveUp(structs.ReasonDeadline)
+	case CallerGone:
+		return m.giveUp(structs.ReasonCallerGone)
+	}
+	return nil
+}
+
+func (m *Machine) start(now time.Time) []Action {
+	if m.spec.Idempotent {
+		m.phase = phasePicking
+		return []Action{Pick{}}
+	}
+	m.phase = phaseClaiming
+	m.claimedAt = now
+	return []Action{AppendClaim{}}
+}
+
+func (m *Machine) claimRead(e ClaimRead, now time.Time) []Action {
+	if m.phase != phaseClaiming {
+		return nil
+	}
+	if e.Entry == nil {
+		return m.claimUnread(e)
+	}
+	if e.Entry.Claim.ID != m.claimID {
+		return m.answerFromEntry(e)
+	}
+	if e.Entry.Phase != ledger.KeyOpen {
+		return m.refuseClaim(structs.ReasonHolderLost)
+	}
+	m.claimed = true
+	if m.claimTooOld(now) {
+		return m.notRun(structs.ReasonHolderLost, retryLater)
+	}
+	m.phase = phasePicking
+	return []Action{Pick{}}
+}
+
+// claimUnread ends a request whose claim may or may not stand in the log.
+// Nothing was sent and nothing will be, so it is not run; the release covers a
+// claim that took effect after all.
+func (m *Machine) claimUnread(e ClaimRead) []Action {
+	m.claimed = e.Appended
+	return m.notRun(e.Reason, retryFor(e.Reason))
+}
+
+func (m *Machine) refuseClaim(reason structs.Reason) []Action {
+	m.claimed = true
+	return m.notRun(reason, retryLater)
+}
+
+func retryFor(reason structs.Reason) time.Duration {
+	if reason == structs.ReasonKeyExpired {
+		return 0
+	}
+	return retryLater
+}
+
+// answerFromEntry answers from another request's claim on the same key.
+func (m *Machine) answerFromEntry(e ClaimRead) []Action {
+	entry := e.Entry
+	if entry.Claim.Digest != m.spec.Digest || entry.Claim.Class != m.spec.Class {
+		return m.finish(Finish{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonKeyConflict})
+	}
+	switch entry.Phase {
+	case ledger.KeyRan:
+		return m.finish(Finish{Outcome: structs.OutcomeRan, Status: entry.Status, Answer: entry.Answer, Replayed: true})
+	case ledger.KeyUnknown:
+		return m.finish(Finish{Outcome: structs.OutcomeUnknown, Reason: entry.Reason, Replayed: true})
+	case ledger.KeyReleased:
+		return m.finish(Finish{Outcome: structs.OutcomeNotRun, Reason: entry.Reason, RetryAfter: retryLater})
+	}
+	if e.HolderLost {
+		return m.finish(Finish{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonHolderLost})
+	}
+	return m.finish(Finish{Outcome: structs.OutcomeInProgress, RetryAfter: retryLater})
+}
+
+func (m *Machine) claimTooOld(now time.Time) bool {
+	return m.claimed && now.Sub(m.claimedAt) > ClaimValid && !m.sent
+}
+
+func (m *Machine) runnerPicked(e RunnerPicked, now time.Time) []Action {
+	if m.phase != phasePicking {
+		return nil
+	}
+	if m.claimTooOld(now) {
+		return m.notRun(structs.ReasonHolderLost, retryLater)
+	}
+	if !now.Before(m.spec.Deadline) {
+		return m.giveUp(structs.ReasonDeadline)
+	}
+	m.phase = phaseSending
+	m.attempts++
+	m.tried = append(m.tried, e.Runner)
+	return []Action{Send{Runner: e.Runner, Attempt: m.attempts}}
+}
+
+func (m *Machine) runnerRefused(e RunnerRefused) []Action {
+	if m.phase != phasePicking {
+		return nil
+	}
+	return m.giveUpLater(e.Reason, e.RetryAfter)
+}
+
+func (m *Machine) attemptEnded(e AttemptEnded, now time.Time) []Action {
+	if m.phase != phaseSending {
+		return nil
+	}
+	m.last = e
+	switch e.Kind {
+	case AttemptAnswered:
+		return m.answered(e, now)
+	case AttemptNotSent, AttemptRefused:
+		return m.retryOr(e, now, func() []Action { return m.giveUpLater(e.Reason, e.RetryAfter) })
+	}
+	m.sent = true
+	if !m.spec.Idempotent {
+		return m.unknown(e.Reason)
+	}
+	return m.retryOr(e, now, func() []Action { return m.unknown(e.Reason) })
+}
+
+// answered relays the answer; an idempotent request that the upstream failed is
+// tried elsewhere first, if it may be.
+func (m *Machine) answered(e AttemptEnded, now time.Time) []Action {
+	relay := func() []Action { return m.ran(e) }
+	if m.spec.Idempotent && e.Status >= 500 {
+		m.sent = true
+		return m.retryOr(e, now, relay)
+	}
+	return relay()
+}
+
+func (m *Machine) retryOr(e AttemptEnded, now time.Time, otherwise func() []Action) []Action {
+	if !e.RetryAllowed || m.attempts >= MaxAttempts || !now.Before(m.spec.Deadline) {
+		return otherwise()
+	}
+	m.phase = phasePicking
+	return []Action{Pick{Exclude: m.tried}}
+}
+
+func (m *Machine) ran(e AttemptEnded) []Action {
+	var actions []Action
+	if m.claimed {
+		complete := AppendComplete{Outcome: structs.OutcomeRan, Status: e.Status}
+		if len(e.Answer) <= MaxKeptAnswer {
+			complete.Answer = e.Answer
+			complete.Kept = true
+		}
+		actions = append(actions, complete)
+	}
+	return append(actions, m.finish(Finish{Outcome: structs.OutcomeRan, Status: e.Status, Answer: e.Answer})...)
+}
+
+func (m *Machine) unknown(reason structs.Reason) []Action {
+	var actions []Action
+	if m.claimed {
+		actions = append(actions, AppendComplete{Outcome: structs.OutcomeUnknown, Reason: reason})
+	}
+	retryAfter := time.Duration(0)
+	if m.spec.Idempotent {
+		retryAfter = retryLater
+	}
+	return append(actions, m.finish(Finish{Outcome: structs.OutcomeUnknown, Reason: reason, RetryAfter: retryAfter})...)
+}
+
+func (m *Machine) notRun(reason structs.Reason, retryAfter time.Duration) []Action {
+	var actions []Action
+	if m.claimed {
+		actions = append(actions, AppendRelease{Reason: reason})
+	}
+	return append(actions, m.finish(Finish{Outcome: structs.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter})...)
+}
+
+// giveUp ends the request at once, whatever it waits for. A claim that is still
+// being appended is released too, since it may stand in the log.
+func (m *Machine) giveUp(reason structs.Reason) []Action {
+	inFlight := m.phase == phaseSending
+	if m.phase == phaseClaiming {
+		m.claimed = true
+	}
+	actions := []Action{Abandon{}}
+	if inFlight {
+		m.sent = true
+		return append(actions, m.unknown(reason)...)
+	}
+	return append(actions, m.giveUpLater(reason, retryLater)...)
+}
+
+func (m *Machine) giveUpLater(reason structs.Reason, retryAfter time.Duration) []Action {
+	if retryAfter == 0 {
+		retryAfter = retryLater
+	}
+	if m.sent {
+		return m.unknown(reason)
+	}
+	return m.notRun(reason, retryAfter)
+}
+
+func (m *Machine) finish(finish Finish) []Action {
+	m.phase = phaseDone
+	return []Action{finish}
+}
--- /dev/null
+++ b/scheduler/blame.go
@@ -0,0 +1,105 @@
+package scheduler
+
+// Constants of blame.
+const (
+	// quarantineAfter is how many different jobs in a row a worker fails before
+	// it is taken out of use.
+	quarantineAfter = 3
+	// quarantineShare bounds the quarantined workers to one in so many.
+	quarantineShare = 10
+	// giveUpAfter is on how many different workers a job fails before the fault
+	// is taken to be its own.
+	giveUpAfter  = 3
+	firstProbe   = 2 * Minute
+	lastProbe    = 30 * Minute
+	probeSlack   = 10 * Minute // what a job must be able to lose to serve as a probe
+	probeTimeCap = 30 * Minute
+)
+
+// blameBook is what is held against a worker.
+type blameBook struct {
+	streak     []*job // different jobs failed since the last success
+	probation  bool   // usable for one probing run only
+	probeAfter Time   // when a quarantined worker is tried again
+	probeWait  Time
+}
+
+// mayProbe reports whether a job may test a worker that was in quarantine.
+func (s *Scheduler) mayProbe(n *node, j *job, now Time) bool {
+	return len(n.runs) == 0 && !j.pinned() && j.spec.Shape.Members == 1 && j.latestStart-now > probeSlack &&
+		s.estimates.estimate(j, planQuantile) < probeTimeCap
+}
+
+// blameFailure notes a failed task and decides whose fault it is. It returns
+// true if the job is to end.
+func (s *Scheduler) blameFailure(j *job, n *node, now Time) (actions []Action, jobEnds bool) {
+	if n == nil {
+		j.failures++
+		return nil, j.failures >= giveUpAfter
+	}
+	if n.probation {
+		return s.quarantine(n, now), false
+	}
+	if !j.blames(n) {
+		j.blamed = append(j.blamed, n)
+		n.streak = append(n.streak, j)
+	}
+	if len(n.streak) >= quarantineAfter {
+		actions = s.quarantine(n, now)
+	}
+	return actions, len(j.blamed)+j.failures >= giveUpAfter
+}
+
+// quarantine takes a worker out, unless too many are out already, and clears
+// the jobs it failed of blame.
+func (s *Scheduler) quarantine(n *node, now Time) []Action {
+	if !n.probation && s.quarantined >= max(1, len(s.cluster.nodes)/quarantineShare) {
+		return nil
+	}
+	n.probeWait = min(max(2*n.probeWait, firstProbe), lastProbe)
+	n.probeAfter = now + n.probeWait
+	n.probation = false
+	for _, j := range n.streak {
+		j.unblame(n)
+	}
+	n.streak = nil
+	s.cluster.change(n, func() { n.quarantined = true })
+	s.quarantined++
+	s.witnessDirty = true
+	return []Action{Quarantine{Worker: n.spec.ID}}
+}
+
+func (j *job) unblame(n *node) {
+	for i, known := range j.blamed {
+		if known == n {
+			j.blamed = append(j.blamed[:i], j.blamed[i+1:]...)
+			return
+		}
+	}
+}
+
+// clearBlame notes a success on a worker.
+func (s *Scheduler) clearBlame(n *node) {
+	n.streak = nil
+	if n.probation {
+		n.probation = false
+		n.probeWait = 0
+	}
+}
+
+// probe lets quarantined workers whose time has come be tried again.
+func (s *Scheduler) probe(now Time) []Action {
+	if s.quarantined == 0 {
+		return nil
+	}
+	var actions []Action
+	for _, n := range s.cluster.nodes {
+		if n.quarantined && now >= n.probeAfter {
+			s.cluster.change(n, func() { n.quarantined = false })
+			n.probation = true
+			s.quarantined--
+			actions = append(actions, Quarantine{Worker: n.spec.ID, Lifted: true})
+		}
+	}
+	return actions
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,423 @@
+package scheduler
+
+import (
+	"container/heap"
+	"strconv"
+
+	"github.com/teaselcleat/teaselcleat/structs"
+	"github.com/teaselcleat/teaselcleat/targets"
+)
+
+// Config is what a policy is made from.
+type Config struct {
+	Workers []WorkerSpec // known from the start, all up
+	Targets *targets.Targets
+	Epoch   int64 // makes run identifiers differ from those of earlier schedulers
+}
+
+func init() {
+	Register(PolicyTargets, func(config Config) Policy { return New(config) })
+}
+
+// Scheduler is the policy that serves. It is not safe for concurrent use.
+type Scheduler struct {
+	cluster      *cluster
+	witness      *witness
+	queue        *queue
+	estimates    *estimator
+	jobs         map[string]*job
+	runs         map[string]*run
+	reservations []*reservation
+	quarantined  int
+	witnessDirty bool // a worker came or went, or the targets changed
+	seq          int64
+	epoch        int64
+	logOut       bool
+}
+
+// New returns a scheduler with the given workers up.
+func New(config Config) *Scheduler {
+	s := &Scheduler{
+		cluster:   newCluster(),
+		witness:   newWitness(),
+		queue:     newQueue(),
+		estimates: newEstimator(),
+		jobs:      map[string]*job{},
+		runs:      map[string]*run{},
+		epoch:     config.Epoch,
+	}
+	for _, spec := range config.Workers {
+		n := s.cluster.add(spec)
+		s.cluster.change(n, func() { n.up = true })
+	}
+	if config.Targets != nil {
+		s.setTargets(config.Targets)
+	}
+	return s
+}
+
+// Step implements Policy.
+func (s *Scheduler) Step(event Event, now Time) []Action {
+	actions := s.take(event, now)
+	if s.witnessDirty {
+		actions = append(actions, s.repairWitness()...)
+	}
+	s.expireReservations(now)
+	return append(actions, s.pass(now)...)
+}
+
+func (s *Scheduler) take(event Event, now Time) []Action {
+	switch e := event.(type) {
+	case Submitted:
+		return s.submitted(e.Job, now)
+	case Cancelled:
+		return s.cancelled(e.Job)
+	case Adopted:
+		s.adopted(e)
+	case RunEnded:
+		return s.runEnded(e, now)
+	case WorkerUp:
+		s.workerUp(e.Worker)
+	case WorkerDown:
+		return s.workerDown(e.Worker)
+	case TargetsChanged:
+		s.setTargets(e.Targets)
+	case LogState:
+		s.logOut = !e.Available
+	case Tick:
+		return s.probe(now)
+	}
+	return nil
+}
+
+func (s *Scheduler) newJob(spec JobSpec) *job {
+	s.seq++
+	j := &job{spec: spec, seq: s.seq, position: -1}
+	s.jobs[spec.ID] = j
+	return j
+}
+
+func (s *Scheduler) submitted(spec JobSpec, now Time) []Action {
+	if _, known := s.jobs[spec.ID]; known {
+		return nil
+	}
+	if !s.cluster.couldEverFit(spec.Shape) {
+		return []Action{End{Job: spec.ID, Outcome: structs.OutcomeNotRun, Reason: structs.ReasonImpossibleShape,
+			Detail: "no inventory of this cell holds " + spec.Shape.String()}}
+	}
+	s.enqueue(s.newJob(spec), now)
+	return nil
+}
+
+func (s *Scheduler) enqueue(j *job, now Time) {
+	rest := max(s.estimates.estimate(j, planQuantile)-j.progress, Second)
+	j.latestStart = j.spec.Deadline - rest
+	j.waitSince = now
+	s.queue.add(j)
+}
+
+// hopeless reports whether a queued job's target is out of reach even if its
+// run is a short one.
+func (s *Scheduler) hopeless(j *job, now Time) bool {
+	rest := s.estimates.estimate(j, luckyQuantile) - j.progress
+	return now+max(rest, 0) > j.spec.Deadline
+}
+
+func (s *Scheduler) cancelled(id string) []Action {
+	j := s.jobs[id]
+	if j == nil {
+		return nil
+	}
+	if j.run != nil {
+		j.run.stopping = true
+		return []Action{Abort{Job: id, Run: j.run.id, Reason: structs.ReasonCancelled}}
+	}
+	s.forget(j)
+	return nil
+}
+
+func (s *Scheduler) forget(j *job) {
+	s.queue.remove(j)
+	s.unreserve(j)
+	delete(s.jobs, j.spec.ID)
+}
+
+// adopted takes over a run that another instance started. Runs of a workspace
+// go inside its guarantee where they stand on it.
+func (s *Scheduler) adopted(e Adopted) {
+	if _, known := s.jobs[e.Job.ID]; known {
+		return
+	}
+	j := s.newJob(e.Job)
+	j.runs = 1
+	r := &run{id: e.Run, job: j, pinned: j.pinned(), started: e.Started, accelerators: e.Job.Shape.Accelerators}
+	for _, member := range e.Members {
+		if n := s.cluster.byID[member.Worker]; n != nil && n.free >= r.accelerators {
+			r.nodes = append(r.nodes, n)
+		}
+	}
+	s.begin(r)
+}
+
+func (s *Scheduler) begin(r *run) {
+	r.job.run = r
+	s.runs[r.id] = r
+	s.cluster.take(r)
+	if r.slot == nil {
+		return
+	}
+	for _, n := range r.nodes {
+		r.slot.used[r.slot.member(n)] += r.accelerators
+	}
+}
+
+// finish gives back all that a run holds.
+func (s *Scheduler) finish(r *run) {
+	s.cluster.give(r)
+	if r.slot != nil {
+		for _, n := range r.nodes {
+			if member := r.slot.member(n); member >= 0 {
+				r.slot.used[member] -= r.accelerators
+			}
+		}
+	}
+	r.job.run = nil
+	delete(s.runs, r.id)
+}
+
+func (s *Scheduler) runEnded(e RunEnded, now Time) []Action {
+	r := s.runs[e.Run]
+	if r == nil {
+		return nil
+	}
+	s.finish(r)
+	j := r.job
+	took := j.progress + now - r.started
+	blamed := s.cluster.byID[e.Worker]
+	switch e.Result {
+	case RunFinished:
+		s.estimates.learn(j, took)
+		for _, n := range r.nodes {
+			s.clearBlame(n)
+		}
+		s.forget(j)
+		return nil
+	case RunAborted:
+		s.forget(j)
+		return nil
+	case RunPreempted:
+		j.progress = took
+		j.resume = true
+	case RunFailed:
+		return s.runFailed(r, blamed, now)
+	case RunNotStarted:
+		s.requeueNotStarted(j, blamed, now)
+		return nil
+	}
+	return s.requeue(j, e.Result == RunPreempted, now)
+}
+
+// avoidAfterRefusal is how long a worker that refused a run is left alone.
+const avoidAfterRefusal = 2 * Second
+
+func (s *Scheduler) requeueNotStarted(j *job, refused *node, now Time) {
+	j.runs--
+	if refused != nil {
+		refused.avoidUntil = now + avoidAfterRefusal
+	}
+	s.enqueue(j, now)
+}
+
+// requeue queues a job again if it may be repeated. A run that was stopped
+// without a checkpoint starts anew from the last one.
+func (s *Scheduler) requeue(j *job, checkpointed bool, now Time) []Action {
+	if j.pinned() && !checkpointed {
+		s.forget(j)
+		return []Action{End{Job: j.spec.ID, Outcome: structs.OutcomeUnknown, Reason: structs.ReasonMemberLost}}
+	}
+	s.enqueue(j, now)
+	return nil
+}
+
+func (s *Scheduler) runFailed(r *run, blamed *node, now Time) []Action {
+	j := r.job
+	actions, ends := s.blameFailure(j, blamed, now)
+	if ends || j.pinned() {
+		s.forget(j)
+		reason := structs.ReasonJobFails
+		if !ends {
+			reason = structs.ReasonTaskFailed
+		}
+		return append(actions, End{Job: j.spec.ID, Outcome: structs.OutcomeRan, Reason: reason,
+			Detail: "failed on " + strconv.Itoa(len(j.blamed)) + " workers"})
+	}
+	s.enqueue(j, now)
+	return actions
+}
+
+func (s *Scheduler) workerUp(spec WorkerSpec) {
+	n := s.cluster.add(spec)
+	if n.up {
+		return
+	}
+	s.cluster.change(n, func() { n.up = true })
+	s.witnessDirty = true
+}
+
+func (s *Scheduler) workerDown(id string) []Action {
+	n := s.cluster.byID[id]
+	if n == nil || !n.up {
+		return nil
+	}
+	s.cluster.change(n, func() { n.up = false })
+	s.witnessDirty = true
+	var actions []Action
+	for _, r := range n.runs {
+		if !r.stopping {
+			r.stopping = true
+			actions = append(actions, Abort{Job: r.job.spec.ID, Run: r.id, Reason: structs.ReasonMemberLost})
+		}
+	}
+	return actions
+}
+
+func (s *Scheduler) setTargets(t *targets.Targets) {
+	s.witness.setTargets(t, func(gone *slot) {
+		s.detach(gone)
+		gone.unassign()
+	})
+	s.witnessDirty = true
+}
+
+// detach leaves a slot's inside runs where they are, as runs outside it.
+func (s *Scheduler) detach(from *slot) {
+	for i, n := range from.nodes {
+		for _, r := range n.runs {
+			if r.slot == from && r.pinned {
+				n.pinned += r.accelerators
+			}
+		}
+		from.used[i] = 0
+	}
+	for _, n := range from.nodes {
+		for _, r := range n.runs {
+			if r.slot == from {
+				r.slot = nil
+			}
+		}
+	}
+}
+
+func (s *Scheduler) repairWitness() []Action {
+	s.witnessDirty = false
+	s.witness.repair(s.cluster, s.detach)
+	var actions []Action
+	for _, known := range s.witness.slots {
+		unfit := known.nodes == nil
+		if unfit != known.unfit {
+			known.unfit = unfit
+			actions = append(actions, GuaranteeUnfit{Workspace: known.workspace, Shape: known.shape, Restored: !unfit})
+		}
+	}
+	return actions
+}
+
+// pass tries to place queued jobs: the first of each group of alike jobs, those
+// whose target is nearest out of reach first. A group whose first job is
+// blocked waits for the next pass.
+func (s *Scheduler) pass(now Time) []Action {
+	first := make(contenders, 0, len(s.queue.order))
+	for _, g := range s.queue.order {
+		if len(g.jobs) > 0 && !(s.logOut && g.key.pinned) {
+			first = append(first, s.contend(g, now))
+		}
+	}
+	heap.Init(&first)
+	var actions []Action
+	for len(first) > 0 {
+		next := first[0]
+		placed, did := s.try(next.job, now)
+		actions = append(actions, did...)
+		g := next.job.group
+		if placed && len(g.jobs) > 0 {
+			first[0] = s.contend(g, now)
+			heap.Fix(&first, 0)
+			continue
+		}
+		heap.Pop(&first)
+	}
+	return actions
+}
+
+func (s *Scheduler) contend(g *group, now Time) contender {
+	return contender{job: g.jobs[0], hopeless: s.hopeless(g.jobs[0], now)}
+}
+
+// tryEvery spaces the searches for room for one blocked job, which cost more
+// than the search for free workers.
+const tryEvery = Second
+
+// try places a job or, if it is blocked, sees to it that it will not starve.
+func (s *Scheduler) try(j *job, now Time) (placed bool, actions []Action) {
+	if found, ok := s.find(j, now); ok {
+		return true, []Action{s.place(j, found, now)}
+	}
+	if now < j.nextTry {
+		return false, nil
+	}
+	j.nextTry = now + tryEvery
+	actions = s.makeRoom(j, now)
+	if len(actions) == 0 {
+		actions = s.migrate(j, now)
+	}
+	if j.reservation == nil {
+		s.reserveSoftly(j, now)
+	}
+	return false, actions
+}
+
+func (s *Scheduler) place(j *job, found placement, now Time) Action {
+	s.queue.remove(j)
+	s.unreserve(j)
+	j.runs++
+	r := &run{
+		id:           s.nextRun(j),
+		job:          j,
+		nodes:        found.nodes,
+		accelerators: j.spec.Shape.Accelerators,
+		slot:         found.slot,
+		pinned:       j.pinned(),
+		started:      now,
+	}
+	s.begin(r)
+	members := make([]structs.Member, 0, len(found.nodes))
+	for _, n := range found.nodes {
+		members = append(members, structs.Member{Worker: n.spec.ID, Accelerators: r.accelerators})
+	}
+	return Place{Job: j.spec.ID, Run: r.id, Members: members, Inside: found.slot != nil, Resume: j.resume}
+}
+
+func (s *Scheduler) nextRun(j *job) string {
+	s.seq++
+	return j.spec.ID + "#" + strconv.FormatInt(s.epoch, 10) + "." + strconv.FormatInt(s.seq, 10)
+}
+
+// Free implements Policy.
+func (s *Scheduler) Free() [][]int { return s.cluster.freeByRack() }
+
+func (c *cluster) freeByRack() [][]int {
+	free := make([][]int, 0, len(c.racks))
+	for _, r := range c.racks {
+		var levels []int
+		for _, n := range r.nodes {
+			if n.usable() {
+				levels = append(levels, n.free)
+			}
+		}
+		free = append(free, levels)
+	}
+	return free
+}
+
+// Queued implements Policy.
+func (s *Scheduler) Queued() int { return s.queue.size }
--- /dev/null
+++ b/structs/outcome.go
@@ -0,0 +1,89 @@
+package structs
+
+import "time"
+
+// Outcome says what became of a submission. "Not run" is a promise: it is used
+// only where nothing was sent or the upstream itself said it did not start.
+type Outcome string
+
+// The outcomes a caller may see.
+const (
+	// OutcomeRan means the upstream executed the request and its whole answer is known.
+	OutcomeRan Outcome = "ran"
+	// OutcomeNotRun means the request certainly did not execute.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means the request may or may not have executed.
+	OutcomeUnknown Outcome = "unknown"
+	// OutcomeInProgress means another attempt of the same key is still open.
+	OutcomeInProgress Outcome = "in_progress"
+	// OutcomeAccepted means a job is durable in the log.
+	OutcomeAccepted Outcome = "accepted"
+)
+
+// Reason is the machine-readable cause of a refusal or delay.
+type Reason string
+
+// Reasons of refusals, as callers see them and as they are recorded.
+const (
+	ReasonNone              Reason = ""
+	ReasonBadRequest        Reason = "bad_request"
+	ReasonTooLarge          Reason = "too_large"
+	ReasonUnknownClass      Reason = "unknown_class"
+	ReasonUnknownWorkspace  Reason = "unknown_workspace"
+	ReasonKeyConflict       Reason = "key_conflict"
+	ReasonKeyExpired        Reason = "key_expired"
+	ReasonKeyTableFull      Reason = "key_table_full"
+	ReasonJobTableFull      Reason = "job_table_full"
+	ReasonLogUnavailable    Reason = "log_unavailable"
+	ReasonNotReady          Reason = "not_ready"
+	ReasonDraining          Reason = "draining"
+	ReasonQueueFull         Reason = "queue_full"
+	ReasonCannotMeetTarget  Reason = "cannot_meet_target"
+	ReasonNoUpstream        Reason = "no_upstream"
+	ReasonUpstreamRefused   Reason = "upstream_refused"
+	ReasonUpstreamFailed    Reason = "upstream_failed"
+	ReasonAnswerTruncated   Reason = "answer_truncated"
+	ReasonAnswerMismatched  Reason = "answer_mismatched"
+	ReasonAnswerTooLarge    Reason = "answer_too_large"
+	ReasonDeadline          Reason = "deadline_exceeded"
+	ReasonRetryBudget       Reason = "retry_budget_exhausted"
+	ReasonCallerGone        Reason = "caller_gone"
+	ReasonHolderLost        Reason = "holder_lost"
+	ReasonImpossibleShape   Reason = "impossible_shape"
+	ReasonJobFails          Reason = "job_fails_everywhere"
+	ReasonMemberLost        Reason = "member_lost"
+	ReasonCancelled         Reason = "cancelled"
+	ReasonPreempted         Reason = "preempted"
+	ReasonStaleTerm         Reason = "stale_term"
+	ReasonVersionConflict   Reason = "version_conflict"
+	ReasonInvalidTargets    Reason = "invalid_targets"
+	ReasonGuaranteeUnfit    Reason = "guarantee_does_not_fit"
+	ReasonNotFound          Reason = "not_found"
+	ReasonReserveRefused    Reason = "reserve_refused"
+	ReasonTaskFailed        Reason = "task_failed"
+	ReasonConfigUnavailable Reason = "targets_unavailable"
+)
+
+// Refusal is the recorded form of a submission that was turned away or ended
+// without a known answer. ID makes appending it twice harmless.
+type Refusal struct {
+	ID         string  `json:"id"`
+	Subject    string  `json:"subject"` // request key or job identifier
+	Workspace  string  `json:"workspace"`
+	Class      string  `json:"class"`
+	Outcome    Outcome `json:"outcome"`
+	Reason     Reason  `json:"reason"`
+	Instance   string  `json:"instance"`
+	AtMS       int64   `json:"at_ms"`       // wall clock of the refusing instance
+	RetryAfter int64   `json:"retry_after"` // seconds; 0 when coming back makes no sense
+	Dropped    int64   `json:"dropped,omitempty"`
+}
+
+// Reply is the typed answer to a submission that is not a relayed body.
+type Reply struct {
+	Outcome    Outcome       `json:"outcome"`
+	Reason     Reason        `json:"reason,omitempty"`
+	Detail     string        `json:"detail,omitempty"`
+	ID         string        `json:"id,omitempty"`
+	RetryAfter time.Duration `json:"-"`
+}
--- /dev/null
+++ b/structs/record.go
@@ -0,0 +1,149 @@
+package structs
+
+// RecordKind names the kind of a ledger record.
+type RecordKind string
+
+// Kinds of ledger records. The fold in package ledger states when each is valid.
+const (
+	RecordClaim    RecordKind = "claim"
+	RecordRelease  RecordKind = "release"
+	RecordComplete RecordKind = "complete"
+	RecordSubmit   RecordKind = "submit"
+	RecordCancel   RecordKind = "cancel"
+	RecordStart    RecordKind = "start"
+	RecordStop     RecordKind = "stop"
+	RecordEnd      RecordKind = "end"
+	RecordTerm     RecordKind = "term"
+	RecordPrune    RecordKind = "prune"
+)
+
+// Record is one entry of the ledger stream. Exactly the part named by Kind is set.
+type Record struct {
+	Kind     RecordKind `json:"kind"`
+	AtMS     int64      `json:"at_ms"` // wall clock of the appending instance
+	Claim    *Claim     `json:"claim,omitempty"`
+	Release  *Release   `json:"release,omitempty"`
+	Complete *Complete  `json:"complete,omitempty"`
+	Submit   *Job       `json:"submit,omitempty"`
+	Cancel   *Cancel    `json:"cancel,omitempty"`
+	Start    *Start     `json:"start,omitempty"`
+	Stop     *Stop      `json:"stop,omitempty"`
+	End      *End       `json:"end,omitempty"`
+	Term     *Term      `json:"term,omitempty"`
+	Prune    *Prune     `json:"prune,omitempty"`
+}
+
+// KeyID identifies a non-idempotent request: its workspace and its caller's key.
+type KeyID struct {
+	Workspace string `json:"workspace"`
+	Key       string `json:"key"`
+}
+
+// Claim takes the sole right to send a non-idempotent request.
+type Claim struct {
+	ID       string `json:"id"` // unique for each claim, so that a double append is recognised
+	Key      KeyID  `json:"key"`
+	Class    string `json:"class"`
+	Digest   uint64 `json:"digest"` // of the request body
+	Holder   string `json:"holder"` // instance identifier with its boot number
+	IssuedMS int64  `json:"issued_ms"`
+}
+
+// Release gives a claim back. Only its holder appends it, and only if nothing was sent.
+type Release struct {
+	ClaimID string `json:"claim_id"`
+	Key     KeyID  `json:"key"`
+	Reason  Reason `json:"reason"`
+}
+
+// Complete ends a claim as ran or unknown. Holder is false when another
+// instance closes the claim of a lost holder; that can only make it unknown.
+type Complete struct {
+	ClaimID string  `json:"claim_id"`
+	Key     KeyID   `json:"key"`
+	Outcome Outcome `json:"outcome"`
+	Reason  Reason  `json:"reason,omitempty"`
+	Holder  bool    `json:"holder"`
+	Status  int     `json:"status,omitempty"`
+	Answer  []byte  `json:"answer,omitempty"` // kept only up to a limit
+	Kept    bool    `json:"kept,omitempty"`   // Answer is the whole answer
+}
+
+// Job is a gang job as submitted.
+type Job struct {
+	ID        string `json:"id"`
+	Key       KeyID  `json:"key"`
+	Class     string `json:"class"`
+	Shape     Shape  `json:"shape"`
+	DeclaredS int64  `json:"declared_s"` // the caller's guess of the run time, a hint only
+	SubmitMS  int64  `json:"submit_ms"`
+	Digest    uint64 `json:"digest"`
+	Payload   string `json:"payload,omitempty"` // opaque to this project, handed to the tasks
+	// Idempotent is the class's word at submission; it decides whether a started
+	// run may be repeated.
+	Idempotent bool `json:"idempotent"`
+}
+
+// Cancel asks for the end of a job, whatever its state.
+type Cancel struct {
+	Job string `json:"job"`
+}
+
+// Member is one worker's part of a run.
+type Member struct {
+	Worker       string `json:"worker"`
+	Accelerators int    `json:"accelerators"`
+}
+
+// Start makes a run durable before any of its tasks start. It is valid under
+// the current term only.
+type Start struct {
+	Job     string   `json:"job"`
+	Run     string   `json:"run"`
+	Term    int64    `json:"term"`
+	Members []Member `json:"members"`
+}
+
+// Stop returns a started run to the queue, under the current term only.
+type Stop struct {
+	Job    string `json:"job"`
+	Run    string `json:"run"`
+	Term   int64  `json:"term"`
+	Reason Reason `json:"reason"`
+	Worker string `json:"worker,omitempty"` // the worker to blame, if one is
+	// NotStarted says that no task of the run was ever told to start.
+	NotStarted bool `json:"not_started,omitempty"`
+	// Checkpointed says that the next run continues this one.
+	Checkpointed bool `json:"checkpointed,omitempty"`
+}
+
+// End ends a job, under the current term only. Run is empty for a job that never ran.
+type End struct {
+	Job     string  `json:"job"`
+	Run     string  `json:"run,omitempty"`
+	Term    int64   `json:"term"`
+	Outcome Outcome `json:"outcome"`
+	Reason  Reason  `json:"reason,omitempty"`
+	Detail  string  `json:"detail,omitempty"`
+}
+
+// Term makes one instance the placing instance. It is valid if Number is the
+// current number plus one.
+type Term struct {
+	Number int64  `json:"number"`
+	Holder string `json:"holder"`
+}
+
+// Prune forgets ended keys and jobs issued before BeforeMS.
+type Prune struct {
+	BeforeMS int64 `json:"before_ms"`
+}
+
+// Proposal is one entry of the configuration stream: a whole targets document
+// that replaces version Base.
+type Proposal struct {
+	ID       string `json:"id"`
+	Base     int64  `json:"base"`
+	Document string `json:"document"`
+	AtMS     int64  `json:"at_ms"`
+}
--- /dev/null
+++ b/targets/fold.go
@@ -0,0 +1,64 @@
+package targets
+
+import (
+	"github.com/teaselcleat/teaselcleat/structs"
+)
+
+// Fold is the agreed state of the operators' proposals. Every instance folds
+// the same stream in offset order: a proposal is accepted if it was made from
+// the version then in force and its document is valid, so of two racing
+// operators one is refused. A version never goes down.
+type Fold struct {
+	Next     int64    // offset of the next proposal to fold
+	Version  int64    // version in force; 0 before the first
+	Document string   // the document in force
+	LastID   string   // identifier of the proposal in force
+	Targets  *Targets // the parsed document
+}
+
+// NewFold returns the state before the first proposal.
+func NewFold() *Fold {
+	return &Fold{Targets: &Targets{Classes: map[string]Class{}, Workspaces: map[string]Workspace{}}}
+}
+
+// Decision is what the fold made of a proposal.
+type Decision struct {
+	Accepted bool
+	Reason   structs.Reason
+	Version  int64 // in force after the proposal
+	Detail   string
+}
+
+// Apply folds the proposal at the next offset. A proposal that was appended
+// twice because its answer was lost is accepted once.
+func (f *Fold) Apply(proposal *structs.Proposal) Decision {
+	f.Next++
+	if proposal.ID != "" && proposal.ID == f.LastID {
+		return Decision{Accepted: true, Version: f.Version}
+	}
+	if proposal.Base != f.Version {
+		return Decision{Reason: structs.ReasonVersionConflict, Version: f.Version}
+	}
+	parsed, err := Parse(proposal.Document)
+	if err != nil {
+		return Decision{Reason: structs.ReasonInvalidTargets, Version: f.Version, Detail: err.Error()}
+	}
+	f.Version++
+	f.Document = proposal.Document
+	f.LastID = proposal.ID
+	f.Targets = parsed
+	return Decision{Accepted: true, Version: f.Version}
+}
+
+// Restore replaces the state by a snapshot's, unless that would go back.
+func (f *Fold) Restore(next, version int64, document, lastID string) error {
+	if version < f.Version || next < f.Next {
+		return nil
+	}
+	parsed, err := Parse(document)
+	if err != nil {
+		return err
+	}
+	*f = Fold{Next: next, Version: version, Document: document, LastID: lastID, Targets: parsed}
+	return nil
+}
--- /dev/null
+++ b/targets/targets.go
@@ -0,0 +1,241 @@
+// Package targets owns the operators' document: classes of work with the target
+// each must meet, and workspaces with the capacity each is guaranteed. It knows
+// no weight, priority or address; such keys are refused like any unknown key.
+package targets
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+
+	"github.com/teaselcleat/teaselcleat/structs"
+)
+
+// Limits of a targets document.
+const (
+	// MaxDocumentBytes is the largest document that is read.
+	MaxDocumentBytes = 256 << 10
+	// MaxFinishWithin is the longest time a class may be given.
+	MaxFinishWithin = 31 * 24 * time.Hour
+	// MinFinishWithin is the shortest time a class may be given.
+	MinFinishWithin = 10 * time.Millisecond
+)
+
+// Section and key names of the document.
+const (
+	sectionClass     = "class"
+	sectionWorkspace = "workspace"
+	keyFinishWithin  = "finish_within"
+	keyIdempotent    = "idempotent"
+	keyGuarantee     = "guarantee"
+)
+
+// Class is a kind of work and its target.
+type Class struct {
+	Name         string
+	FinishWithin time.Duration // from submission to whole answer
+	Idempotent   bool          // running twice is harmless
+}
+
+// Workspace is a customer and the shapes it is guaranteed, each adjacent in one rack.
+type Workspace struct {
+	Name      string
+	Guarantee []structs.Shape
+}
+
+// Targets is a checked document. The zero value has no class and no workspace.
+type Targets struct {
+	Classes    map[string]Class
+	Workspaces map[string]Workspace
+}
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	Section string
+	Key     string
+	Problem string // what is wrong and what is allowed
+}
+
+// String prints the fault with its place.
+func (f Fault) String() string {
+	return "[" + f.Section + "] " + f.Key + ": " + f.Problem
+}
+
+// FaultsError carries every fault of a document.
+type FaultsError struct {
+	Faults []Fault
+}
+
+// Error lists all faults.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, fault := range e.Faults {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Parse reads a document of [class "name"] and [workspace "name"] sections. It
+// returns a *FaultsError naming every fault if the document is not valid.
+func Parse(document string) (*Targets, error) {
+	if len(document) > MaxDocumentBytes {
+		return nil, eris.Errorf("targets document has %d bytes, at most %d are allowed", len(document), MaxDocumentBytes)
+	}
+	file, err := ini.LoadSources(LoadOptions(), []byte(document))
+	if err != nil {
+		return nil, eris.Wrap(err, "targets document is not INI")
+	}
+	parsed, faults := FromFile(file, nil)
+	if len(faults) > 0 {
+		return nil, &FaultsError{Faults: faults}
+	}
+	return parsed, nil
+}
+
+// LoadOptions are the INI dialect of all of the project's files.
+func LoadOptions() ini.LoadOptions {
+	return ini.LoadOptions{AllowNonUniqueSections: true, KeyValueDelimiters: "="}
+}
+
+// FromFile reads the class and workspace sections of a file. Sections named in
+// others belong to another reader and are passed over.
+func FromFile(file *ini.File, others map[string]bool) (*Targets, []Fault) {
+	reader := &reader{targets: &Targets{Classes: map[string]Class{}, Workspaces: map[string]Workspace{}}}
+	for _, section := range file.Sections() {
+		if others[section.Name()] {
+			continue
+		}
+		reader.section(section)
+	}
+	return reader.targets, reader.faults
+}
+
+type reader struct {
+	targets *Targets
+	faults  []Fault
+}
+
+func (r *reader) fault(section *ini.Section, key, problem string) {
+	r.faults = append(r.faults, Fault{Section: section.Name(), Key: key, Problem: problem})
+}
+
+func (r *reader) section(section *ini.Section) {
+	if section.Name() == ini.DefaultSection {
+		for _, key := range section.Keys() {
+			r.fault(section, key.Name(), "key stands before any section")
+		}
+		return
+	}
+	kind, name, ok := splitSection(section.Name())
+	switch {
+	case ok && kind == sectionClass:
+		r.class(section, name)
+	case ok && kind == sectionWorkspace:
+		r.workspace(section, name)
+	default:
+		r.fault(section, "", `unknown section; allowed are [class "NAME"] and [workspace "NAME"]`)
+	}
+}
+
+func splitSection(text string) (kind, name string, ok bool) {
+	kind, quoted, found := strings.Cut(text, " ")
+	if !found {
+		return "", "", false
+	}
+	name, err := strconv.Unquote(strings.TrimSpace(quoted))
+	return kind, name, err == nil && name != ""
+}
+
+func (r *reader) class(section *ini.Section, name string) {
+	if _, exists := r.targets.Classes[name]; exists {
+		r.fault(section, "", "class stands twice")
+	}
+	class := Class{Name: name}
+	seen := map[string]bool{}
+	for _, key := range section.Keys() {
+		seen[key.Name()] = true
+		switch key.Name() {
+		case keyFinishWithin:
+			class.FinishWithin = r.duration(section, key)
+		case keyIdempotent:
+			class.Idempotent = r.boolean(section, key)
+		default:
+			r.fault(section, key.Name(), "unknown key; allowed are finish_within and idempotent")
+		}
+	}
+	for _, required := range []string{keyFinishWithin, keyIdempotent} {
+		if !seen[required] {
+			r.fault(section, required, "is missing")
+		}
+	}
+	r.targets.Classes[name] = class
+}
+
+func (r *reader) duration(section *ini.Section, key *ini.Key) time.Duration {
+	value, err := time.ParseDuration(key.String())
+	if err != nil || value < MinFinishWithin || value > MaxFinishWithin {
+		r.fault(section, key.Name(), "must be a duration from 10ms to 744h, such as 90s or 8h")
+	}
+	return value
+}
+
+func (r *reader) boolean(section *ini.Section, key *ini.Key) bool {
+	switch key.String() {
+	case "true":
+		return true
+	case "false":
+		return false
+	}
+	r.fault(section, key.Name(), "must be true or false")
+	return false
+}
+
+func (r *reader) workspace(section *ini.Section, name string) {
+	if _, exists := r.targets.Workspaces[name]; exists {
+		r.fault(section, "", "workspace stands twice")
+	}
+	workspace := Workspace{Name: name}
+	for _, key := range section.Keys() {
+		if key.Name() != keyGuarantee {
+			r.fault(section, key.Name(), "unknown key; allowed is guarantee")
+			continue
+		}
+		workspace.Guarantee = r.guarantee(section, key)
+	}
+	r.targets.Workspaces[name] = workspace
+}
+
+func (r *reader) guarantee(section *ini.Section, key *ini.Key) []structs.Shape {
+	var shapes []structs.Shape
+	for _, text := range strings.Split(key.String(), ",") {
+		if strings.TrimSpace(text) == "" {
+			continue
+		}
+		shape, err := structs.ParseShape(text)
+		if err != nil {
+			r.fault(section, key.Name(), err.Error()+"; a shape is MEMBERSxACCELERATORS, such as 4x8")
+			continue
+		}
+		shapes = append(shapes, shape)
+	}
+	return shapes
+}
+
+// ClassNames lists the classes in order.
+func (t *Targets) ClassNames() []string { return sortedKeys(t.Classes) }
+
+// WorkspaceNames lists the workspaces in order.
+func (t *Targets) WorkspaceNames() []string { return sortedKeys(t.Workspaces) }
+
+func sortedKeys[V any](values map[string]V) []string {
+	names := make([]string, 0, len(values))
+	for name := range values {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/worker/worker.go
@@ -0,0 +1,92 @@
+// Package worker owns the interface to workers, the machines whose accelerators
+// run tasks under leases. Adapters implement it.
+package worker
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors that a worker itself states. Any other error leaves open whether the
+// call took effect.
+var (
+	// ErrStaleTerm means the worker has seen a later term.
+	ErrStaleTerm = eris.New("worker has seen a later term")
+	// ErrNoRoom means the worker has too few free accelerators.
+	ErrNoRoom = eris.New("worker has too few free accelerators")
+	// ErrNoLease means the worker does not hold the lease.
+	ErrNoLease = eris.New("worker does not hold the lease")
+)
+
+// Reserve asks for accelerators under a lease.
+type Reserve struct {
+	Term         int64         `json:"term"`
+	Run          string        `json:"run"`
+	Job          string        `json:"job"`
+	Accelerators int           `json:"accelerators"`
+	TTL          time.Duration `json:"ttl"`
+}
+
+// Order starts, stops or releases a run's task on one worker.
+type Order struct {
+	Term int64  `json:"term"`
+	Run  string `json:"run"`
+	// Checkpoint asks for a checkpoint before the stop, within Within.
+	Checkpoint bool          `json:"checkpoint,omitempty"`
+	Within     time.Duration `json:"within,omitempty"`
+	// Resume starts from the job's last checkpoint.
+	Resume  bool   `json:"resume,omitempty"`
+	Payload string `json:"payload,omitempty"` // the job's own words to its tasks
+}
+
+// Renew extends the leases of several runs at once.
+type Renew struct {
+	Term int64         `json:"term"`
+	Runs []string      `json:"runs"`
+	TTL  time.Duration `json:"ttl"`
+}
+
+// TaskPhase is the state of a lease and its task.
+type TaskPhase string
+
+// Phases of a task on a worker.
+const (
+	TaskReserved     TaskPhase = "reserved"
+	TaskRunning      TaskPhase = "running"
+	TaskCheckpointed TaskPhase = "checkpointed" // stopped with a checkpoint; lease still held
+	TaskFinished     TaskPhase = "finished"
+	TaskFailed       TaskPhase = "failed"
+	TaskStopped      TaskPhase = "stopped" // stopped without a checkpoint
+)
+
+// Task is one lease on a worker.
+type Task struct {
+	Run          string    `json:"run"`
+	Job          string    `json:"job"`
+	Accelerators int       `json:"accelerators"`
+	Phase        TaskPhase `json:"phase"`
+	Detail       string    `json:"detail,omitempty"`
+}
+
+// State is all a worker says of itself. Usage lags behind.
+type State struct {
+	Term  int64   `json:"term"`
+	Tasks []Task  `json:"tasks"`
+	Usage float64 `json:"usage"` // share of accelerators in use, 0 to 1
+}
+
+// Client talks to workers. It is safe for concurrent use.
+type Client interface {
+	// Reserve takes a lease; asking again for the same run renews it.
+	Reserve(ctx context.Context, address string, reserve Reserve) error
+	// Start starts the task of a leased run; starting it twice is harmless.
+	Start(ctx context.Context, address string, order Order) error
+	// Stop ends the task and, once it is down, keeps its last phase until Release.
+	Stop(ctx context.Context, address string, order Order) error
+	// Release gives the lease up, stopping the task at once if it still runs.
+	Release(ctx context.Context, address string, order Order) error
+	// Renew extends leases and returns the worker's state.
+	Renew(ctx context.Context, address string, renew Renew) (State, error)
+}
