--- a/gangs/coordinator.go
+++ b/gangs/coordinator.go
@@ -163,7 +163,6 @@
 	appended   bool      // the start was handed to the log
 	members    []*member
 	reason     structs.Reason // why it is being stopped
-	blamed     string
 }
 
 // Coordinator holds the runs of one term. It is not safe for concurrent use.
