--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,63 @@
+package e2e
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/service"
+	"github.com/teaselcleat/teaselcleat/structs"
+)
+
+var gang4x8 = structs.Shape{Members: 4, Accelerators: 8, Adjacent: true}
+
+func TestWholePathAndKillOfAnIdleInstance(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 3, 3, 8)
+	for _, class := range []string{"surge", "flow"} {
+		got := s.request(s.instances[0], class, "k-"+class, "station 12")
+		is.NoErr(got.err)
+		is.Equal(got.outcome, structs.OutcomeRan)
+		is.Equal(got.body, "done:station 12")
+	}
+	reply, status := s.submit(s.instances[0], service.JobRequest{Workspace: "a", Class: "wear", Key: "w1", Shape: gang4x8, Payload: "run_ms=300"})
+	is.Equal(status, http.StatusAccepted)
+	survey, _ := s.submit(s.instances[1], service.JobRequest{Workspace: "b", Class: "survey", Key: "s1", Shape: structs.Shape{Members: 2, Accelerators: 4}, Payload: "run_ms=300"})
+	s.instances[2].kill()
+	for _, id := range []string{reply.ID, survey.ID} {
+		eventually(t, "job ends", func() bool { return s.job(s.instances[1], id).Phase == ledger.JobEnded })
+		is.Equal(s.job(s.instances[0], id).Outcome, structs.OutcomeRan)
+	}
+	again := s.request(s.instances[1], "flow", "k-flow", "station 12")
+	is.Equal(again.outcome, structs.OutcomeRan) // the kept answer, read back at another instance
+	is.Equal(again.body, "done:station 12")
+	is.Equal(s.executions()["k-flow"], 1)
+}
+
+func TestMalformedInputIsRefusedWithAReason(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, 1, 4)
+	at := s.instances[0]
+	for _, c := range []struct {
+		name, class, key, body string
+		status                 int
+		reason                 structs.Reason
+	}{
+		{"unknown class", "nothing", "k", "x", http.StatusNotFound, structs.ReasonUnknownClass},
+		{"no key", "flow", "", "x", http.StatusBadRequest, structs.ReasonBadRequest},
+		{"not UTF-8", "surge", "k", "\xff\xfe", http.StatusBadRequest, structs.ReasonBadRequest},
+		{"too large", "surge", "k", strings.Repeat("x", 2<<20), http.StatusRequestEntityTooLarge, structs.ReasonTooLarge},
+	} {
+		got := s.request(at, c.class, c.key, c.body)
+		is.NoErr(got.err)
+		is.Equal(got.status, c.status)               // status
+		is.Equal(got.reason, c.reason)               // reason
+		is.Equal(got.outcome, structs.OutcomeNotRun) // nothing ran
+	}
+	_, status := s.submit(at, service.JobRequest{Workspace: "a", Class: "wear", Key: "w", Shape: structs.Shape{Members: 5, Accelerators: 8, Adjacent: true}})
+	is.Equal(status, http.StatusUnprocessableEntity) // a rack of four cannot hold five members
+	is.Equal(len(s.executions()), 0)
+}
