--- a/gangs/coordinator.go
+++ b/gangs/coordinator.go
@@ -46,6 +46,7 @@
 	Checkpoint   bool
 	Resume       bool
 	Payload      string
+	MinLease     time.Duration // for a start: the least that must be left of the lease
 }
 
 // Poll asks for the leases of runs on one worker to be renewed; the worker's
@@ -140,13 +141,16 @@
 	phaseStarting
 	phaseRunning
 	phaseStopping
+	phaseReleasing // ended; its leases are being given up
 )
 
 // member is one worker's part of a run.
 type member struct {
 	structs.Member
 	acked  bool             // the current phase's call was answered well
+	ended  bool             // the current phase's call has ended
 	phase  worker.TaskPhase // as last reported
+	heard  bool             // the worker has reported under this term
 	leased time.Time        // the lease is held until TTL after this, at least
 }
 
@@ -161,8 +165,28 @@
 	since      time.Time // when the phase began
 	recorded   bool      // the start was read back as valid
 	appended   bool      // the start was handed to the log
+	unrecorded bool      // to be started before its record is read back, as the log is out
 	members    []*member
+	asked      time.Time      // when the present round of reservations was asked for
 	reason     structs.Reason // why it is being stopped
+	// failedOn is the first member that did not start, and pending a stop that
+	// was asked for while starting. Both wait until every start call has ended:
+	// to release one lease while a start is on its way to another worker would
+	// let the gang run in part.
+	failedOn string
+	pending  *StopRun
+	// adoptedAt is when the run was taken over, or zero; halting is an end that
+	// waits until no start of the earlier holder can count any more.
+	adoptedAt time.Time
+	halting   *halt
+	result    scheduler.RunEnded // told to the scheduler once the leases are given up
+}
+
+// halt is the end of a run on all members.
+type halt struct {
+	reason structs.Reason
+	blamed string
+	result scheduler.Result
 }
 
 // Coordinator holds the runs of one term. It is not safe for concurrent use.
@@ -204,17 +228,31 @@
 func (c *Coordinator) launch(e Launch, now time.Time) []Action {
 	g := &gang{job: e.Place.Job, run: e.Place.Run, payload: e.Payload, resume: e.Place.Resume, idempotent: e.Idempotent}
 	for _, m := range e.Place.Members {
-		g.members = append(g.members, &member{Member: m, leased: now})
+		g.members = append(g.members, &member{Member: m})
 	}
 	c.gangs[g.run] = g
 	g.enter(phaseReserving, now)
+	return g.reserveAll(now)
+}
+
+// reserveAll asks every member for its lease, or for a renewed one. Until a run
+// has started its leases are renewed in such whole rounds only: if all answers
+// of a round come within a quarter of the leases' time, and a worker starts a
+// task only with a quarter of its lease left, then at that moment no other
+// member's lease of the same round has lapsed.
+func (g *gang) reserveAll(now time.Time) []Action {
+	g.asked = now
+	for _, m := range g.members {
+		m.acked = false
+		m.leased = now
+	}
 	return g.callAll(CallReserve)
 }
 
 // adopt trusts nothing but the record: the first polls will show which members
 // still hold their leases.
 func (c *Coordinator) adopt(e Adopt, now time.Time) {
-	g := &gang{job: e.Job, run: e.Run, recorded: true, appended: true}
+	g := &gang{job: e.Job, run: e.Run, recorded: true, appended: true, adoptedAt: now}
 	for _, m := range e.Members {
 		g.members = append(g.members, &member{Member: m, leased: now, phase: worker.TaskRunning})
 	}
@@ -227,6 +265,7 @@
 	g.since = now
 	for _, m := range g.members {
 		m.acked = false
+		m.ended = false
 	}
 }
 
@@ -267,24 +306,41 @@
 	}
 	m := g.member(e.Call.Worker)
 	switch {
-	case e.Call.Kind == CallReserve && g.phase == phaseReserving:
+	case e.Call.Kind == CallReserve && g.phase < phaseStarting:
 		return c.reserved(g, m, e.Err, now)
 	case e.Call.Kind == CallStart && g.phase == phaseStarting:
 		return c.startEnded(g, m, e.Err, now)
+	case e.Call.Kind == CallRelease && g.phase == phaseReleasing:
+		return c.released(g, m)
 	}
 	return nil
 }
 
 func (c *Coordinator) reserved(g *gang, m *member, err error, now time.Time) []Action {
-	if err != nil {
-		return c.withdraw(g, m.Worker)
+	if err != nil || now.Sub(g.asked) > c.roundLimit() {
+		return c.withdraw(g, m.Worker, now)
 	}
 	m.acked = true
-	m.phase = worker.TaskReserved
 	if !g.allAcked() {
 		return nil
 	}
-	g.enter(phaseRecording, now)
+	if g.phase == phaseReserving {
+		return c.record(g, now)
+	}
+	if g.recorded || g.unrecorded {
+		return c.startAll(g, now)
+	}
+	return nil
+}
+
+// roundLimit is the time within which all answers of a round of reservations
+// must come; see reserveAll.
+func (c *Coordinator) roundLimit() time.Duration { return c.config.LeaseTTL / 4 }
+
+// record hands the start to the log once all members are reserved.
+func (c *Coordinator) record(g *gang, now time.Time) []Action {
+	g.phase = phaseRecording
+	g.since = now
 	g.appended = true
 	members := make([]structs.Member, 0, len(g.members))
 	for _, known := range g.members {
@@ -295,14 +351,39 @@
 
 // withdraw gives up a run of which no task was told to start. A start record
 // that may stand in the log is taken back.
-func (c *Coordinator) withdraw(g *gang, blamed string) []Action {
-	delete(c.gangs, g.run)
-	actions := g.callAll(CallRelease)
+func (c *Coordinator) withdraw(g *gang, blamed string, now time.Time) []Action {
+	return c.withdrawAs(g, scheduler.RunNotStarted, blamed, now)
+}
+
+func (c *Coordinator) withdrawAs(g *gang, result scheduler.Result, blamed string, now time.Time) []Action {
+	actions := g.release(result, blamed, now)
 	if g.appended {
 		actions = append(actions, AppendStop{structs.Stop{Job: g.job, Run: g.run, Term: c.config.Term,
 			Reason: structs.ReasonReserveRefused, NotStarted: true}})
 	}
-	return append(actions, RunEnded{scheduler.RunEnded{Run: g.run, Result: scheduler.RunNotStarted, Worker: blamed}})
+	return actions
+}
+
+// release gives up all leases. The scheduler is told of the run's end only when
+// the workers have answered, or the leases have lapsed, so that it does not
+// place others on accelerators that are still held.
+func (g *gang) release(result scheduler.Result, blamed string, now time.Time) []Action {
+	g.result = scheduler.RunEnded{Run: g.run, Result: result, Worker: blamed}
+	g.enter(phaseReleasing, now)
+	return g.callAll(CallRelease)
+}
+
+func (c *Coordinator) released(g *gang, m *member) []Action {
+	m.ended = true
+	if !g.allEnded() {
+		return nil
+	}
+	return c.gone(g)
+}
+
+func (c *Coordinator) gone(g *gang) []Action {
+	delete(c.gangs, g.run)
+	return []Action{RunEnded{g.result}}
 }
 
 func (c *Coordinator) startRead(e StartRead, now time.Time) []Action {
@@ -311,61 +392,97 @@
 		return nil
 	}
 	if !e.Valid {
-		return c.startVoid(g)
+		return c.startVoid(g, now)
 	}
 	g.recorded = true
 	if g.phase != phaseRecording {
 		return nil
 	}
-	return c.startAll(g, now)
+	return c.startWhenHeld(g, now)
 }
 
 // startVoid ends a run whose start does not count: the job was cancelled or
 // another instance places now.
-func (c *Coordinator) startVoid(g *gang) []Action {
-	delete(c.gangs, g.run)
+func (c *Coordinator) startVoid(g *gang, now time.Time) []Action {
 	result := scheduler.RunAborted
 	if g.phase == phaseRecording {
 		result = scheduler.RunNotStarted
 	}
-	actions := g.callAll(CallRelease)
-	return append(actions, RunEnded{scheduler.RunEnded{Run: g.run, Result: result}})
+	return g.release(result, "", now)
 }
 
-// startAll tells every member to start. After a pause in which leases may have
-// lapsed, nothing is started.
-func (c *Coordinator) startAll(g *gang, now time.Time) []Action {
-	for _, m := range g.members {
-		if now.Sub(m.leased) >= c.config.LeaseTTL*3/4 {
-			return c.withdraw(g, "")
-		}
+// startWhenHeld starts a run whose round of reservations is fresh, and renews
+// the round first if it is not.
+func (c *Coordinator) startWhenHeld(g *gang, now time.Time) []Action {
+	if !g.allAcked() {
+		return nil // the round's last answer will start it
+	}
+	if now.Sub(g.asked) > c.config.LeaseTTL/2 {
+		return g.reserveAll(now)
 	}
+	return c.startAll(g, now)
+}
+
+func (c *Coordinator) startAll(g *gang, now time.Time) []Action {
 	g.enter(phaseStarting, now)
-	return g.callAll(CallStart)
+	actions := g.callAll(CallStart)
+	for i := range actions {
+		call := actions[i].(Call)
+		call.MinLease = c.roundLimit()
+		actions[i] = call
+	}
+	return actions
 }
 
 func (c *Coordinator) startEnded(g *gang, m *member, err error, now time.Time) []Action {
-	if err != nil {
-		return c.halt(g, structs.ReasonMemberLost, m.Worker, scheduler.RunLost)
+	m.ended = true
+	m.acked = err == nil
+	if err == nil {
+		m.phase = worker.TaskRunning
+	} else if g.failedOn == "" {
+		g.failedOn = m.Worker
+	}
+	if !g.allEnded() {
+		return nil
 	}
-	m.acked = true
-	m.phase = worker.TaskRunning
-	if g.allAcked() {
-		g.enter(phaseRunning, now)
+	if g.failedOn != "" {
+		return c.halt(g, halt{structs.ReasonMemberLost, g.failedOn, scheduler.RunLost}, now)
+	}
+	g.enter(phaseRunning, now)
+	if g.pending != nil {
+		return c.stopRun(*g.pending, now)
 	}
 	return nil
 }
 
-// halt ends a run at once on all members.
-func (c *Coordinator) halt(g *gang, reason structs.Reason, blamed string, result scheduler.Result) []Action {
-	delete(c.gangs, g.run)
-	actions := g.callAll(CallRelease)
-	stop := structs.Stop{Job: g.job, Run: g.run, Term: c.config.Term, Reason: reason}
-	if result == scheduler.RunFailed {
-		stop.Worker = blamed
+func (g *gang) allEnded() bool {
+	for _, m := range g.members {
+		if !m.ended {
+			return false
+		}
 	}
-	actions = append(actions, AppendStop{stop})
-	return append(actions, RunEnded{scheduler.RunEnded{Run: g.run, Result: result, Worker: blamed}})
+	return true
+}
+
+// halt ends a run at once on all members. An adopted run waits until every
+// member has answered under this term, or until the earlier holder's
+// reservations have lapsed: to release one member while a start of that holder
+// is on its way to another would let the gang run in part.
+func (c *Coordinator) halt(g *gang, end halt, now time.Time) []Action {
+	if !c.fenced(g, now) {
+		g.halting = &end
+		return nil
+	}
+	stop := structs.Stop{Job: g.job, Run: g.run, Term: c.config.Term, Reason: end.reason}
+	if end.result == scheduler.RunFailed {
+		stop.Worker = end.blamed
+	}
+	return append(g.release(end.result, end.blamed, now), AppendStop{stop})
+}
+
+// fenced reports whether no start of an earlier holder can count any more.
+func (c *Coordinator) fenced(g *gang, now time.Time) bool {
+	return g.adoptedAt.IsZero() || g.allHeard() || now.Sub(g.adoptedAt) > c.config.LeaseTTL
 }
 
 func (c *Coordinator) stopRun(e StopRun, now time.Time) []Action {
@@ -373,11 +490,18 @@
 	if g == nil {
 		return nil
 	}
-	if g.phase < phaseStarting {
-		return c.withdrawStopped(g, e)
+	switch g.phase {
+	case phaseReleasing:
+		return nil
+	case phaseReserving, phaseRecording:
+		return c.withdrawStopped(g, e, now)
+	}
+	if g.phase == phaseStarting {
+		g.pending = &e
+		return nil
 	}
 	if !e.Checkpoint {
-		return c.halt(g, e.Reason, "", resultOf(e.Reason))
+		return c.halt(g, halt{e.Reason, "", resultOf(e.Reason)}, now)
 	}
 	if g.phase == phaseStopping {
 		return nil
@@ -404,13 +528,11 @@
 }
 
 // withdrawStopped ends a run that is asked to stop before it started.
-func (c *Coordinator) withdrawStopped(g *gang, e StopRun) []Action {
-	actions := c.withdraw(g, "")
+func (c *Coordinator) withdrawStopped(g *gang, e StopRun, now time.Time) []Action {
 	if e.Reason == structs.ReasonCancelled {
-		last := len(actions) - 1
-		actions[last] = RunEnded{scheduler.RunEnded{Run: g.run, Result: scheduler.RunAborted}}
+		return c.withdrawAs(g, scheduler.RunAborted, "", now)
 	}
-	return actions
+	return c.withdraw(g, "", now)
 }
 
 func (c *Coordinator) workerState(e WorkerState, now time.Time) []Action {
@@ -420,6 +542,9 @@
 		if m == nil || e.Err != nil {
 			continue
 		}
+		if g.phase < phaseStarting {
+			continue
+		}
 		reported := reportedPhase(e.State, g.run)
 		if reported != "" && e.Asked.After(m.leased) {
 			m.leased = e.Asked
@@ -428,6 +553,7 @@
 			continue // asked before the run came to its present step
 		}
 		m.phase = reported
+		m.heard = true
 		actions = append(actions, c.review(g, now)...)
 	}
 	if e.Err != nil {
@@ -461,13 +587,18 @@
 	if g.phase != phaseRunning && g.phase != phaseStopping {
 		return nil
 	}
-	finished, down, checkpointed := 0, 0, 0
+	if g.halting != nil {
+		return c.halt(g, *g.halting, now)
+	}
+	finished, down, checkpointed, reserved := 0, 0, 0, 0
 	for _, m := range g.members {
 		switch m.phase {
 		case worker.TaskFailed:
-			return c.halt(g, structs.ReasonTaskFailed, m.Worker, scheduler.RunFailed)
+			return c.halt(g, halt{structs.ReasonTaskFailed, m.Worker, scheduler.RunFailed}, now)
 		case "":
-			return c.halt(g, structs.ReasonMemberLost, m.Worker, scheduler.RunLost)
+			return c.halt(g, halt{structs.ReasonMemberLost, m.Worker, scheduler.RunLost}, now)
+		case worker.TaskReserved:
+			reserved++
 		case worker.TaskFinished:
 			finished++
 			down++
@@ -480,32 +611,44 @@
 		}
 	}
 	switch {
+	case reserved == len(g.members):
+		return c.withdraw(g, "", now)
+	case reserved > 0 && g.allHeard():
+		return c.halt(g, halt{structs.ReasonMemberLost, "", scheduler.RunLost}, now)
 	case finished == len(g.members):
-		return c.finished(g)
+		return c.finished(g, now)
 	case g.phase == phaseStopping && down == len(g.members):
-		return c.stopped(g, checkpointed == len(g.members))
+		return c.stopped(g, checkpointed == len(g.members), now)
 	case g.phase == phaseStopping && now.Sub(g.since) > c.config.ReclaimWithin+c.config.LeaseTTL:
-		return c.stopped(g, false)
+		return c.stopped(g, false, now)
 	}
 	return nil
 }
 
-func (c *Coordinator) finished(g *gang) []Action {
-	delete(c.gangs, g.run)
+// allHeard reports whether every member has answered under this term. From
+// then on no start of an earlier holder can count any more, so a member of an
+// adopted run that is only reserved will never start.
+func (g *gang) allHeard() bool {
+	for _, m := range g.members {
+		if !m.heard {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Coordinator) finished(g *gang, now time.Time) []Action {
 	actions := []Action{AppendEnd{structs.End{Job: g.job, Run: g.run, Term: c.config.Term, Outcome: structs.OutcomeRan}}}
-	actions = append(actions, g.callAll(CallRelease)...)
-	return append(actions, RunEnded{scheduler.RunEnded{Run: g.run, Result: scheduler.RunFinished}})
+	return append(actions, g.release(scheduler.RunFinished, "", now)...)
 }
 
-func (c *Coordinator) stopped(g *gang, checkpointed bool) []Action {
-	delete(c.gangs, g.run)
+func (c *Coordinator) stopped(g *gang, checkpointed bool, now time.Time) []Action {
 	result := scheduler.RunStopped
 	if checkpointed {
 		result = scheduler.RunPreempted
 	}
 	stop := structs.Stop{Job: g.job, Run: g.run, Term: c.config.Term, Reason: g.reason, Checkpointed: checkpointed}
-	actions := append(g.callAll(CallRelease), AppendStop{stop})
-	return append(actions, RunEnded{scheduler.RunEnded{Run: g.run, Result: result}})
+	return append(g.release(result, "", now), AppendStop{stop})
 }
 
 // tick polls workers, gives up steps that took too long and notices members
@@ -519,32 +662,51 @@
 }
 
 func (c *Coordinator) tickGang(g *gang, e Tick, now time.Time) []Action {
-	waited := now.Sub(g.since)
 	switch g.phase {
 	case phaseReserving:
-		if waited > c.config.LeaseTTL/2 {
-			return c.withdraw(g, g.firstUnacked())
+		if now.Sub(g.asked) > c.roundLimit() {
+			return c.withdraw(g, g.firstUnacked(), now)
 		}
 	case phaseRecording:
-		if g.idempotent && !e.LogAvailable {
-			return c.startAll(g, now) // a repeat would be harmless, so the record may follow
-		}
-		if waited > c.config.RecordWait {
-			return c.withdraw(g, "")
-		}
+		return c.tickRecording(g, e, now)
 	case phaseStarting:
-		if waited > c.config.LeaseTTL/2 {
-			return c.halt(g, structs.ReasonMemberLost, g.firstUnacked(), scheduler.RunLost)
+		// A start may be on its way as long as a lease of the round can be held.
+		if now.Sub(g.asked) > c.config.LeaseTTL {
+			return c.halt(g, halt{structs.ReasonMemberLost, g.firstUnacked(), scheduler.RunLost}, now)
+		}
+	case phaseReleasing:
+		if now.Sub(g.since) > c.config.LeaseTTL {
+			return c.gone(g)
 		}
 	case phaseRunning, phaseStopping:
 		if silent := c.silent(g, now); silent != "" {
-			return c.halt(g, structs.ReasonMemberLost, silent, scheduler.RunLost)
+			return c.halt(g, halt{structs.ReasonMemberLost, silent, scheduler.RunLost}, now)
 		}
 		return c.review(g, now)
 	}
 	return nil
 }
 
+// tickRecording keeps the reservations fresh while the record is waited for. A
+// run that may be repeated starts without it while the log is out.
+func (c *Coordinator) tickRecording(g *gang, e Tick, now time.Time) []Action {
+	if g.idempotent && !e.LogAvailable {
+		g.unrecorded = true
+	}
+	held := g.allAcked()
+	switch {
+	case !held && now.Sub(g.asked) > c.roundLimit():
+		return c.withdraw(g, g.firstUnacked(), now)
+	case g.unrecorded || g.recorded:
+		return c.startWhenHeld(g, now)
+	case now.Sub(g.since) > c.config.RecordWait:
+		return c.withdraw(g, "", now)
+	case held && now.Sub(g.asked) > c.config.LeaseTTL/2:
+		return g.reserveAll(now)
+	}
+	return nil
+}
+
 func (g *gang) firstUnacked() string {
 	for _, m := range g.members {
 		if !m.acked {
@@ -569,6 +731,9 @@
 	runs := map[string][]string{}
 	var workers []string
 	for _, g := range c.sorted() {
+		if g.phase < phaseRunning || g.phase == phaseReleasing {
+			continue // renewed in whole rounds only, see reserveAll
+		}
 		for _, m := range g.members {
 			if runs[m.Worker] == nil {
 				workers = append(workers, m.Worker)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -227,7 +227,8 @@
 // logAvailable reports whether appends are answered and the fold is fresh
 // enough for them to be read back.
 func (i *Instance) logAvailable() bool {
-	return i.ledgerWriter.Available() && i.ledgerTail.CaughtUp() && i.ledgerTail.Staleness() < staleAfter
+	tail := i.ledgerTail
+	return i.ledgerWriter.Available() && tail.CaughtUp() && !tail.Failing() && tail.Staleness() < staleAfter
 }
 
 // staleAfter is how long a healthy long poll may go unanswered.
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -44,7 +44,9 @@
 	case <-time.After(i.settings.ClaimWait):
 	case <-ctx.Done():
 	}
-	return i.withdrawJob(request, job)
+	// The submission may stand in the log after all; a retry with the same key
+	// finds it there or submits it, so nothing is cancelled here.
+	return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonLogUnavailable, ID: job.ID, RetryAfter: 2 * time.Second})
 }
 
 func closed(channel <-chan struct{}) func() bool {
@@ -58,13 +60,6 @@
 	}
 }
 
-// withdrawJob refuses a job whose submission was not read back. Should it stand
-// in the log after all, the cancellation that follows it ends it.
-func (i *Instance) withdrawJob(request service.JobRequest, job *structs.Job) structs.Reply {
-	i.appendRecord(&structs.Record{Kind: structs.RecordCancel, Cancel: &structs.Cancel{Job: job.ID}}, nil)
-	return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonLogUnavailable, ID: job.ID, RetryAfter: 2 * time.Second})
-}
-
 func (i *Instance) submitRuled(request service.JobRequest, job *structs.Job, why ledger.VoidReason) structs.Reply {
 	switch why {
 	case ledger.VoidNone:
@@ -258,7 +253,7 @@
 		}
 		for _, data := range batch.Records {
 			var refusal structs.Refusal
-			if json.Unmarshal(data, &refusal) != nil || seen[refusal.ID] {
+			if json.Unmarshal(data, &refusal) != nil || refusal.ID == "" || seen[refusal.ID] {
 				continue
 			}
 			seen[refusal.ID] = true
--- a/instance/placer.go
+++ b/instance/placer.go
@@ -170,7 +170,7 @@
 	p.version = version
 	p.logOut = false
 	p.known = map[string]bool{}
-	p.scheduler = scheduler.New(scheduler.Config{Workers: specsOf(p.workers), Targets: inForce, Epoch: term})
+	p.scheduler = scheduler.New(scheduler.Config{Workers: specsOf(p.workers), Epoch: term})
 	p.coordinator = gangs.New(gangs.Config{Term: term, LeaseTTL: i.settings.LeaseTTL, ReclaimWithin: i.settings.ReclaimWithin, RecordWait: recordWait})
 	live := i.replica.LiveJobs()
 	sort.Slice(live, func(a, b int) bool { return liveBefore(live[a], live[b]) })
@@ -180,6 +180,7 @@
 			p.adopt(entry, inForce)
 		}
 	}
+	p.schedule(ctx, scheduler.TargetsChanged{Targets: inForce}) // laid over the adopted runs
 	for _, entry := range live {
 		p.follow(ctx, entry)
 	}
@@ -387,7 +388,7 @@
 		return worker.ErrNoRoom
 	}
 	order := worker.Order{Term: term, Run: call.Run, Checkpoint: call.Checkpoint,
-		Within: i.settings.ReclaimWithin, Resume: call.Resume, Payload: call.Payload}
+		Within: i.settings.ReclaimWithin, Resume: call.Resume, Payload: call.Payload, MinLease: call.MinLease}
 	switch call.Kind {
 	case gangs.CallReserve:
 		return i.workers.Reserve(ctx, listed.Address, worker.Reserve{Term: term, Run: call.Run, Job: call.Job,
--- a/logstream/tailer.go
+++ b/logstream/tailer.go
@@ -29,6 +29,7 @@
 	stream string
 	sink   Sink
 	caught atomic.Bool  // has seen the end of the stream once
+	failed atomic.Bool  // the last read was not answered
 	last   atomic.Int64 // Unix milliseconds of the last answered read
 	now    func() time.Time
 }
@@ -41,6 +42,9 @@
 // CaughtUp reports whether the tailer has seen the end of the stream since it started.
 func (t *Tailer) CaughtUp() bool { return t.caught.Load() }
 
+// Failing reports whether the last read was not answered.
+func (t *Tailer) Failing() bool { return t.failed.Load() }
+
 // Staleness is the time since the last answered read.
 func (t *Tailer) Staleness() time.Duration {
 	return t.now().Sub(time.UnixMilli(t.last.Load()))
@@ -75,6 +79,7 @@
 		t.sink.Gap(gone.First)
 		return false
 	}
+	t.failed.Store(err != nil)
 	if err != nil {
 		return false
 	}
--- a/logstream/writer.go
+++ b/logstream/writer.go
@@ -29,6 +29,10 @@
 	lastBackoff       = time.Second
 )
 
+// probeRecord is appended when an append failed and nothing is left to append.
+// Its kind is unknown to every fold, so it is void.
+const probeRecord = `{"kind":"probe"}`
+
 // Entry is one record to append.
 type Entry struct {
 	Data []byte
@@ -119,6 +123,9 @@
 // fill moves queued entries to the backlog, waiting for the first if there is
 // none. It reports false when ctx ended.
 func (w *Writer) fill(ctx context.Context) bool {
+	if w.backlogLen() == 0 && !w.Available() {
+		w.push(Entry{Data: []byte(probeRecord)}) // to notice that the log is back
+	}
 	if w.backlogLen() == 0 {
 		first, ok := w.queue.Take(ctx)
 		if !ok {
--- /dev/null
+++ b/scheduler/adopt_test.go
@@ -0,0 +1,50 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/scheduler"
+	"github.com/teaselcleat/teaselcleat/structs"
+)
+
+// workersOf makes so many workers of eight accelerators, racks filled in order.
+func workersOf(count, inRack int) []scheduler.WorkerSpec {
+	var specs []scheduler.WorkerSpec
+	for n := range count {
+		specs = append(specs, scheduler.WorkerSpec{ID: fmt.Sprintf("w%03d", n), Rack: fmt.Sprintf("r%03d", n/inRack),
+			AvailabilityZone: fmt.Sprintf("z%d", n/inRack%3), Accelerators: 8})
+	}
+	return specs
+}
+
+func jobOf(id, workspace string, members, accelerators int) scheduler.JobSpec {
+	return scheduler.JobSpec{ID: id, Workspace: workspace, Class: "c", Shape: structs.Shape{Members: members, Accelerators: accelerators},
+		Deadline: 3600 * scheduler.Second, Idempotent: true}
+}
+
+func placed(actions []scheduler.Action) []scheduler.Place {
+	var found []scheduler.Place
+	for _, action := range actions {
+		if place, ok := action.(scheduler.Place); ok {
+			found = append(found, place)
+		}
+	}
+	return found
+}
+
+func TestAnAdoptedRunThatDidNotStartIsPlacedAgain(t *testing.T) {
+	is := is.New(t)
+	s := scheduler.New(scheduler.Config{Workers: workersOf(8, 4)})
+	var members []structs.Member
+	for _, spec := range workersOf(8, 4) {
+		members = append(members, structs.Member{Worker: spec.ID, Accelerators: 8})
+	}
+	s.Step(scheduler.Adopted{Job: jobOf("j0", "b", 8, 8), Run: "j0#1.1", Members: members}, 0)
+	for n := 1; n < 4; n++ {
+		is.Equal(len(placed(s.Step(scheduler.Submitted{Job: jobOf(fmt.Sprintf("j%d", n), "b", 8, 8)}, 1))), 0)
+	}
+	is.Equal(len(placed(s.Step(scheduler.RunEnded{Run: "j0#1.1", Result: scheduler.RunNotStarted}, 100))), 1)
+}
--- a/scheduler/baseline.go
+++ b/scheduler/baseline.go
@@ -176,7 +176,7 @@
 
 func (b *baseline) place(j *job, nodes []*node, now Time) Action {
 	b.seq++
-	r := &run{id: j.spec.ID + "#" + strconv.FormatInt(b.seq, 10), job: j, nodes: nodes, accelerators: j.spec.Shape.Accelerators, started: now}
+	r := &run{id: j.spec.ID + "#" + strconv.FormatInt(b.seq, 10), job: j, nodes: nodes, shares: make([]*slot, len(nodes)), accelerators: j.spec.Shape.Accelerators, started: now}
 	j.run = r
 	b.runs[r.id] = r
 	b.cluster.take(r)
--- a/scheduler/cluster.go
+++ b/scheduler/cluster.go
@@ -119,10 +119,12 @@
 
 // take gives a run its accelerators on its nodes.
 func (c *cluster) take(r *run) {
-	for _, n := range r.nodes {
+	for i, n := range r.nodes {
 		c.change(n, func() { n.free -= r.accelerators })
 		n.runs = append(n.runs, r)
-		if r.pinned && r.slot == nil {
+		if share := r.shares[i]; share != nil {
+			share.used[share.member(n)] += r.accelerators
+		} else if r.pinned {
 			n.pinned += r.accelerators
 		}
 	}
@@ -130,10 +132,12 @@
 
 // give takes a run's accelerators back.
 func (c *cluster) give(r *run) {
-	for _, n := range r.nodes {
+	for i, n := range r.nodes {
 		c.change(n, func() { n.free += r.accelerators })
 		n.runs = removeRun(n.runs, r)
-		if r.pinned && r.slot == nil {
+		if share := r.shares[i]; share != nil {
+			share.used[share.member(n)] -= r.accelerators
+		} else if r.pinned {
 			n.pinned -= r.accelerators
 		}
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -11,19 +11,43 @@
 	id           string
 	job          *job
 	nodes        []*node
-	accelerators int   // on each node
-	slot         *slot // the guarantee it runs inside, or nil
+	accelerators int     // on each node
+	shares       []*slot // by node, the guarantee whose accelerators it uses there, or nil
 	pinned       bool
 	started      Time
 	stopping     bool // asked to stop
 }
 
-// placement is a choice of workers for a job.
+// inside reports whether the run is wholly within a guarantee.
+func (r *run) inside() bool {
+	for _, share := range r.shares {
+		if share == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// placement is a choice of workers for a job. With a slot it is wholly inside
+// that guarantee.
 type placement struct {
 	nodes []*node
 	slot  *slot
 }
 
+// ownShare is the workspace's own slot with room for the job's member on a
+// node, or nil. Pinned work that does not fit into a guarantee as a whole may
+// use its own workspace's promises where it stands on them.
+func (s *Scheduler) ownShare(n *node, j *job) *slot {
+	for _, candidate := range s.witness.byWorkspace[j.spec.Workspace] {
+		member := candidate.member(n)
+		if member >= 0 && candidate.used[member]+j.spec.Shape.Accelerators <= candidate.shape.Accelerators {
+			return candidate
+		}
+	}
+	return nil
+}
+
 // admits reports whether a job may use a node now, room aside: the node works,
 // has not failed the job, is not kept for another job, and pinned work leaves
 // the promises reclaimable.
@@ -43,17 +67,19 @@
 	if n.free-s.keptFor(n, j, now) < wanted || !s.admits(n, j, now) {
 		return false
 	}
-	return !j.pinned() || n.spare() >= wanted
+	return !j.pinned() || n.spare() >= wanted || s.ownShare(n, j) != nil
 }
 
 // keptFor is how many accelerators of a node are kept for another job. A job
-// that ends before they are needed may use them.
+// that ends before they are needed may use them, and so may one that is ahead of
+// the other in order, unless runs were stopped for the other.
 func (s *Scheduler) keptFor(n *node, j *job, now Time) int {
 	kept := n.reserved
 	if kept == nil || kept.job == j {
 		return 0
 	}
-	if !kept.firm && now+s.estimates.estimate(j, planQuantile) <= kept.start {
+	ahead := j.latestStart <= kept.job.latestStart
+	if !kept.firm && (ahead || now+s.estimates.estimate(j, planQuantile) <= kept.start) {
 		return 0
 	}
 	return kept.job.spec.Shape.Accelerators
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -42,7 +42,7 @@
 // reclaim takes back the workspace's own guarantee from whoever borrows it.
 func (s *Scheduler) reclaim(j *job, now Time) []Action {
 	for _, candidate := range s.witness.byWorkspace[j.spec.Workspace] {
-		rule := func(r *run) bool { return !r.pinned && r.slot == nil }
+		rule := func(r *run) bool { return !r.pinned && !r.inside() }
 		nodes := s.insideMembers(candidate, j, now, func(n *node) bool {
 			return n.reclaimableFor(j) && n.free+stoppable(n, rule) >= j.spec.Shape.Accelerators
 		})
@@ -83,7 +83,7 @@
 // repeated, it is not inside another workspace's guarantee, and its own target
 // is either out of reach already or can still be met afterwards.
 func (s *Scheduler) yields(r *run, j *job, now Time) bool {
-	if r.stopping || r.pinned || (r.slot != nil && r.slot.workspace != j.spec.Workspace) {
+	if r.stopping || r.pinned || (r.inside() && r.job.spec.Workspace != j.spec.Workspace) {
 		return false
 	}
 	if now > r.job.spec.Deadline {
@@ -148,7 +148,7 @@
 		if n.reserved != nil && n.reserved.job != j || !s.admits(n, j, now) {
 			continue
 		}
-		if j.pinned() && n.spare() < j.spec.Shape.Accelerators {
+		if j.pinned() && n.spare() < j.spec.Shape.Accelerators && s.ownShare(n, j) == nil {
 			continue
 		}
 		victims, ok := victimsOn(n, j.spec.Shape.Accelerators, rule)
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -59,7 +59,7 @@
 		if n.free < wanted || !s.admits(n, j, now) {
 			return placement{}, false
 		}
-		if kept.slot == nil && j.pinned() && n.spare() < wanted {
+		if kept.slot == nil && j.pinned() && n.spare() < wanted && s.ownShare(n, j) == nil {
 			return placement{}, false
 		}
 	}
@@ -149,7 +149,7 @@
 		if !s.admits(n, j, now) || n.reserved != nil {
 			continue
 		}
-		if j.pinned() && n.spare() < j.spec.Shape.Accelerators {
+		if j.pinned() && n.spare() < j.spec.Shape.Accelerators && s.ownShare(n, j) == nil {
 			continue
 		}
 		if at, ok := s.roomTime(n, j.spec.Shape.Accelerators, now); ok {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -105,6 +105,10 @@
 		return []Action{End{Job: spec.ID, Outcome: structs.OutcomeNotRun, Reason: structs.ReasonImpossibleShape,
 			Detail: "no inventory of this cell holds " + spec.Shape.String()}}
 	}
+	if !spec.Idempotent && !s.fitsBesideGuarantees(spec) {
+		return []Action{End{Job: spec.ID, Outcome: structs.OutcomeNotRun, Reason: structs.ReasonImpossibleShape,
+			Detail: spec.Shape.String() + " may not be stopped once started and does not fit beside the guarantees of others"}}
+	}
 	s.enqueue(s.newJob(spec), now)
 	return nil
 }
@@ -142,8 +146,8 @@
 	delete(s.jobs, j.spec.ID)
 }
 
-// adopted takes over a run that another instance started. Runs of a workspace
-// go inside its guarantee where they stand on it.
+// adopted takes over a run that another instance started. The guarantees are
+// best put in force after all such runs, so that they are laid over them.
 func (s *Scheduler) adopted(e Adopted) {
 	if _, known := s.jobs[e.Job.ID]; known {
 		return
@@ -156,6 +160,7 @@
 			r.nodes = append(r.nodes, n)
 		}
 	}
+	r.shares = make([]*slot, len(r.nodes))
 	s.begin(r)
 }
 
@@ -163,24 +168,11 @@
 	r.job.run = r
 	s.runs[r.id] = r
 	s.cluster.take(r)
-	if r.slot == nil {
-		return
-	}
-	for _, n := range r.nodes {
-		r.slot.used[r.slot.member(n)] += r.accelerators
-	}
 }
 
 // finish gives back all that a run holds.
 func (s *Scheduler) finish(r *run) {
 	s.cluster.give(r)
-	if r.slot != nil {
-		for _, n := range r.nodes {
-			if member := r.slot.member(n); member >= 0 {
-				r.slot.used[member] -= r.accelerators
-			}
-		}
-	}
 	r.job.run = nil
 	delete(s.runs, r.id)
 }
@@ -289,28 +281,42 @@
 	s.witnessDirty = true
 }
 
-// detach leaves a slot's inside runs where they are, as runs outside it.
+// detach leaves the runs that use a slot where they are, as runs outside it.
 func (s *Scheduler) detach(from *slot) {
-	for i, n := range from.nodes {
+	for _, n := range from.nodes {
 		for _, r := range n.runs {
-			if r.slot == from && r.pinned {
-				n.pinned += r.accelerators
-			}
+			r.leave(from, n)
 		}
-		from.used[i] = 0
 	}
-	for _, n := range from.nodes {
-		for _, r := range n.runs {
-			if r.slot == from {
-				r.slot = nil
-			}
+}
+
+func (r *run) leave(from *slot, n *node) {
+	for i, known := range r.nodes {
+		if known != n || r.shares[i] != from {
+			continue
+		}
+		from.used[from.member(n)] -= r.accelerators
+		r.shares[i] = nil
+		if r.pinned {
+			n.pinned += r.accelerators
+		}
+	}
+}
+
+// join puts a run that stands on a slot's workers inside it.
+func (r *run) join(into *slot) {
+	for i, n := range r.nodes {
+		r.shares[i] = into
+		into.used[into.member(n)] += r.accelerators
+		if r.pinned {
+			n.pinned -= r.accelerators
 		}
 	}
 }
 
 func (s *Scheduler) repairWitness() []Action {
 	s.witnessDirty = false
-	s.witness.repair(s.cluster, s.detach)
+	s.witness.repair(s.cluster, s.detach, s.cover)
 	var actions []Action
 	for _, known := range s.witness.slots {
 		unfit := known.nodes == nil
@@ -366,6 +372,9 @@
 		return false, nil
 	}
 	j.nextTry = now + tryEvery
+	if found, ok := s.rearrange(j, now); ok {
+		return true, []Action{s.place(j, found, now)}
+	}
 	actions = s.makeRoom(j, now)
 	if len(actions) == 0 {
 		actions = s.migrate(j, now)
@@ -385,7 +394,7 @@
 		job:          j,
 		nodes:        found.nodes,
 		accelerators: j.spec.Shape.Accelerators,
-		slot:         found.slot,
+		shares:       s.sharesFor(j, found),
 		pinned:       j.pinned(),
 		started:      now,
 	}
@@ -397,6 +406,17 @@
 	return Place{Job: j.spec.ID, Run: r.id, Members: members, Inside: found.slot != nil, Resume: j.resume}
 }
 
+func (s *Scheduler) sharesFor(j *job, found placement) []*slot {
+	shares := make([]*slot, len(found.nodes))
+	for i, n := range found.nodes {
+		shares[i] = found.slot
+		if found.slot == nil && j.pinned() && n.spare() < j.spec.Shape.Accelerators {
+			shares[i] = s.ownShare(n, j)
+		}
+	}
+	return shares
+}
+
 func (s *Scheduler) nextRun(j *job) string {
 	s.seq++
 	return j.spec.ID + "#" + strconv.FormatInt(s.epoch, 10) + "." + strconv.FormatInt(s.seq, 10)
--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -118,13 +118,10 @@
 // room finds workers in one rack that can take the promise of a shape. Racks
 // that are filled most tightly come first, and within a rack the workers with
 // the least spare room.
-func (c *cluster) room(shape structs.Shape, avoid *rack) []*node {
+func (c *cluster) room(shape structs.Shape) []*node {
 	var best []*node
 	bestLeft := 0
 	for _, r := range c.racks {
-		if r == avoid {
-			continue
-		}
 		nodes, left := r.room(shape)
 		if nodes != nil && (best == nil || left < bestLeft) {
 			best = nodes
@@ -150,11 +147,12 @@
 }
 
 // repair gives every broken slot workers again where the live ones allow it.
-// detach is called for a slot whose inside runs must stay behind.
-func (w *witness) repair(c *cluster, detach func(*slot)) {
+// detach is called for a slot whose inside runs must stay behind; cover lays a
+// slot over a run of its workspace, if it can.
+func (w *witness) repair(c *cluster, detach func(*slot), cover func(*slot) bool) {
 	var missing []*slot
 	for _, s := range w.slots {
-		if s.broken() && !w.mend(c, s, detach) {
+		if s.broken() && !w.mend(c, s, detach, cover) {
 			missing = append(missing, s)
 		}
 	}
@@ -164,13 +162,16 @@
 }
 
 // mend first replaces lost members within the rack, then moves the whole slot.
-func (w *witness) mend(c *cluster, s *slot, detach func(*slot)) bool {
+func (w *witness) mend(c *cluster, s *slot, detach func(*slot), cover func(*slot) bool) bool {
 	if s.nodes != nil && s.replaceLost() {
 		return true
 	}
 	detach(s)
 	s.unassign()
-	nodes := c.room(s.shape, nil)
+	if cover(s) {
+		return true
+	}
+	nodes := c.room(s.shape)
 	if nodes == nil {
 		return false
 	}
@@ -178,6 +179,68 @@
 	return true
 }
 
+// cover seats a slot on the workers of a run of its workspace that is not
+// inside a guarantee, filled up with others of the rack. Without it a run that
+// may not be stopped would take room beside the guarantee that it uses.
+func (s *Scheduler) cover(empty *slot) bool {
+	for _, n := range s.cluster.nodes {
+		for _, r := range n.runs {
+			if r.nodes[0] != n || r.job.spec.Workspace != empty.workspace || r.sharesAny() || !holds(empty.shape, r.job.spec.Shape) {
+				continue
+			}
+			if nodes := r.surround(empty.shape); nodes != nil {
+				empty.assign(nodes)
+				r.join(empty)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *run) sharesAny() bool {
+	for _, share := range r.shares {
+		if share != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// surround returns the run's nodes and others of its rack that can hold a shape.
+func (r *run) surround(shape structs.Shape) []*node {
+	own := 0
+	if r.pinned {
+		own = r.accelerators
+	}
+	home := r.nodes[0].rack
+	var nodes []*node
+	for _, n := range r.nodes {
+		if n.rack != home || !n.usable() || n.spare()+own < shape.Accelerators {
+			return nil
+		}
+		nodes = append(nodes, n)
+	}
+	for _, n := range home.nodes {
+		if len(nodes) < shape.Members && n.usable() && n.spare() >= shape.Accelerators && !onNode(r, n) {
+			nodes = append(nodes, n)
+		}
+	}
+	if len(nodes) < shape.Members {
+		return nil
+	}
+	return nodes
+}
+
+func onNode(r *run, n *node) bool {
+	for _, known := range r.nodes {
+		if known == n {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *slot) replaceLost() bool {
 	r := s.nodes[0].rack
 	for i, n := range s.nodes {
@@ -210,29 +273,16 @@
 // repack lays out all slots without inside runs anew, the largest first. If
 // that seats fewer slots than before, the old layout is put back.
 func (w *witness) repack(c *cluster) {
-	var idle []*slot
-	before := map[*slot][]*node{}
-	seatedBefore := 0
+	idle, before := w.lift()
+	seatedBefore := len(idle)
 	for _, s := range w.slots {
-		if s.nodes == nil || s.idle() {
+		if s.nodes == nil && before[s] == nil {
 			idle = append(idle, s)
-			before[s] = s.nodes
-			if s.nodes != nil {
-				seatedBefore++
-			}
-			s.unassign()
 		}
 	}
-	if w.seat(c, idle) >= seatedBefore {
-		return
-	}
-	for _, s := range idle {
-		s.unassign()
-	}
-	for _, s := range idle {
-		if before[s] != nil {
-			s.assign(before[s])
-		}
+	sort.SliceStable(idle, func(i, j int) bool { return largerShape(idle[i].shape, idle[j].shape) })
+	if w.seat(c, idle) < seatedBefore {
+		putBack(idle, before)
 	}
 }
 
@@ -242,7 +292,7 @@
 	}
 	seated := 0
 	for _, s := range slots {
-		if nodes := c.room(s.shape, nil); nodes != nil {
+		if nodes := c.room(s.shape); nodes != nil {
 			s.assign(nodes)
 			seated++
 		}
@@ -338,6 +388,80 @@
 	Shape     structs.Shape
 }
 
+// rearrange places a job that may not be stopped by moving idle guarantees out
+// of its way, if all of them can be seated elsewhere.
+func (s *Scheduler) rearrange(j *job, now Time) (placement, bool) {
+	if !j.pinned() {
+		return placement{}, false
+	}
+	idle, before := s.witness.lift()
+	if nodes := s.findOutside(j, now); nodes != nil {
+		for _, n := range nodes {
+			n.pinned += j.spec.Shape.Accelerators
+		}
+		seated := s.witness.seat(s.cluster, idle) == len(idle)
+		for _, n := range nodes {
+			n.pinned -= j.spec.Shape.Accelerators
+		}
+		if seated {
+			return placement{nodes: nodes}, true
+		}
+	}
+	putBack(idle, before)
+	return placement{}, false
+}
+
+// lift takes the seated slots without inside runs off their workers.
+func (w *witness) lift() (idle []*slot, before map[*slot][]*node) {
+	before = map[*slot][]*node{}
+	for _, s := range w.slots {
+		if s.nodes != nil && s.idle() {
+			idle = append(idle, s)
+			before[s] = s.nodes
+			s.unassign()
+		}
+	}
+	return idle, before
+}
+
+func putBack(slots []*slot, before map[*slot][]*node) {
+	for _, s := range slots {
+		s.unassign()
+		if before[s] != nil {
+			s.assign(before[s])
+		}
+	}
+}
+
+// fitsBesideGuarantees reports whether the known workers, when empty, can hold
+// a job that may not be stopped together with the guarantees of others.
+func (s *Scheduler) fitsBesideGuarantees(spec JobSpec) bool {
+	c := newCluster()
+	for _, n := range s.cluster.nodes {
+		added := c.add(n.spec)
+		c.change(added, func() { added.up = true })
+	}
+	var others []*slot
+	for _, known := range s.witness.slots {
+		if known.workspace != spec.Workspace {
+			others = append(others, &slot{workspace: known.workspace, shape: known.shape})
+		}
+	}
+	if spec.Shape.Adjacent {
+		others = append(others, &slot{shape: spec.Shape})
+		sort.SliceStable(others, func(i, j int) bool { return largerShape(others[i].shape, others[j].shape) })
+		return newWitness().seat(c, others) == len(others)
+	}
+	newWitness().seat(c, others)
+	room := 0
+	for _, n := range c.nodes {
+		if n.spare() >= spec.Shape.Accelerators {
+			room++
+		}
+	}
+	return room >= spec.Shape.Members
+}
+
 // CheckGuarantees reports the guaranteed shapes that the workers cannot all
 // hold at once, when nothing runs. An empty result means they fit.
 func CheckGuarantees(workers []WorkerSpec, t *targets.Targets) []Unfit {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -63,8 +63,11 @@
 }
 
 // NewWorker returns a healthy worker.
-func NewWorker(accelerators int) *Worker {
-	w := &Worker{accelerators: accelerators, leases: map[string]*lease{}, router: mux.NewRouter(), now: time.Now}
+func NewWorker(accelerators int) *Worker { return NewWorkerAt(accelerators, time.Now) }
+
+// NewWorkerAt returns a healthy worker on a clock of the caller's.
+func NewWorkerAt(accelerators int, now func() time.Time) *Worker {
+	w := &Worker{accelerators: accelerators, leases: map[string]*lease{}, router: mux.NewRouter(), now: now}
 	w.router.HandleFunc(workerhttp.PathReserve, w.serveReserve).Methods(http.MethodPost)
 	w.router.HandleFunc(workerhttp.PathRenew, w.serveRenew).Methods(http.MethodPost)
 	w.router.HandleFunc(workerhttp.PathRelease, w.serveOrder(w.Release)).Methods(http.MethodPost)
@@ -102,6 +105,14 @@
 	return append([]Interval(nil), w.history...)
 }
 
+// Holds reports whether the run has a lease here.
+func (w *Worker) Holds(run string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	return w.leases[run] != nil
+}
+
 // settle brings every lease up to the present: expiries, task ends, checkpoints.
 func (w *Worker) settle() {
 	now := w.now()
@@ -193,6 +204,9 @@
 	if held.task.Phase != worker.TaskReserved {
 		return nil
 	}
+	if held.expiry.Sub(w.now()) < order.MinLease {
+		return worker.ErrNoLease
+	}
 	if w.faults.RefuseStart {
 		return worker.ErrNoRoom
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -36,6 +36,9 @@
 	// Checkpoint asks for a checkpoint before the stop, within Within.
 	Checkpoint bool          `json:"checkpoint,omitempty"`
 	Within     time.Duration `json:"within,omitempty"`
+	// MinLease is the least that must be left of the lease for a start to count.
+	// A worker with less refuses with ErrNoLease.
+	MinLease time.Duration `json:"min_lease,omitempty"`
 	// Resume starts from the job's last checkpoint.
 	Resume  bool   `json:"resume,omitempty"`
 	Payload string `json:"payload,omitempty"` // the job's own words to its tasks
