--- a/scheduler/blame.go
+++ b/scheduler/blame.go
@@ -78,28 +78,34 @@
 	}
 }
 
-// clearBlame notes a success on a worker.
-func (s *Scheduler) clearBlame(n *node) {
-	n.streak = nil
-	if n.probation {
+// clearBlame notes a success on workers. One that was being tried again is back
+// in use.
+func (s *Scheduler) clearBlame(nodes []*node) []Action {
+	var actions []Action
+	for _, n := range nodes {
+		n.streak = nil
+		if !n.probation {
+			continue
+		}
 		n.probation = false
 		n.probeWait = 0
+		s.witnessDirty = true
+		actions = append(actions, Quarantine{Worker: n.spec.ID, Lifted: true})
 	}
+	return actions
 }
 
-// probe lets quarantined workers whose time has come be tried again.
-func (s *Scheduler) probe(now Time) []Action {
+// probe lets quarantined workers whose time has come be tried again, by one
+// small job at a time.
+func (s *Scheduler) probe(now Time) {
 	if s.quarantined == 0 {
-		return nil
+		return
 	}
-	var actions []Action
 	for _, n := range s.cluster.nodes {
 		if n.quarantined && now >= n.probeAfter {
 			s.cluster.change(n, func() { n.quarantined = false })
 			n.probation = true
 			s.quarantined--
-			actions = append(actions, Quarantine{Worker: n.spec.ID, Lifted: true})
 		}
 	}
-	return actions
 }
--- a/scheduler/cluster.go
+++ b/scheduler/cluster.go
@@ -18,13 +18,17 @@
 	up          bool
 	quarantined bool
 	runs        []*run
-	reserved    *reservation
+	reserved    []*reservation
 	avoidUntil  Time // the worker refused a run a moment ago
 	blameBook
 }
 
 func (n *node) usable() bool { return n.up && !n.quarantined }
 
+// trusted reports whether guarantees may rest on the node: it works and is not
+// being tried again after a quarantine.
+func (n *node) trusted() bool { return n.usable() && !n.probation }
+
 // spare is how many accelerators pinned work or a further promise may take.
 func (n *node) spare() int { return n.spec.Accelerators - n.promised - n.pinned }
 
@@ -62,7 +66,6 @@
 	racks  []*rack
 	byRack map[string]*rack
 	levels []bitset // usable nodes by free accelerators
-	usable int
 }
 
 func newCluster() *cluster {
@@ -104,7 +107,6 @@
 	n.rack.counts[n.free]--
 	n.rack.free -= n.free
 	c.levels[n.free].clear(n.index)
-	c.usable--
 }
 
 func (c *cluster) index(n *node) {
@@ -114,7 +116,6 @@
 	n.rack.counts[n.free]++
 	n.rack.free += n.free
 	c.levels[n.free].set(n.index)
-	c.usable++
 }
 
 // take gives a run its accelerators on its nodes.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -40,8 +40,7 @@
 // use its own workspace's promises where it stands on them.
 func (s *Scheduler) ownShare(n *node, j *job) *slot {
 	for _, candidate := range s.witness.byWorkspace[j.spec.Workspace] {
-		member := candidate.member(n)
-		if member >= 0 && candidate.used[member]+j.spec.Shape.Accelerators <= candidate.shape.Accelerators {
+		if candidate.leaves(n, j.spec.Shape.Accelerators) {
 			return candidate
 		}
 	}
@@ -74,15 +73,21 @@
 // that ends before they are needed may use them, and so may one that is ahead of
 // the other in order, unless runs were stopped for the other.
 func (s *Scheduler) keptFor(n *node, j *job, now Time) int {
-	kept := n.reserved
-	if kept == nil || kept.job == j {
-		return 0
+	total := 0
+	for _, kept := range n.reserved {
+		if kept.job != j && s.respects(j, kept, now) {
+			total += kept.job.spec.Shape.Accelerators
+		}
 	}
-	ahead := j.latestStart <= kept.job.latestStart
-	if !kept.firm && (ahead || now+s.estimates.estimate(j, planQuantile) <= kept.start) {
-		return 0
+	return total
+}
+
+func (s *Scheduler) respects(j *job, kept *reservation, now Time) bool {
+	if kept.firm {
+		return true
 	}
-	return kept.job.spec.Shape.Accelerators
+	ahead := j.latestStart <= kept.job.latestStart
+	return !ahead && now+s.estimates.estimate(j, planQuantile) > kept.start
 }
 
 // find looks for free workers for a job: those kept for it, its workspace's
@@ -124,7 +129,7 @@
 // guarantee to free workers if its own are in use by others.
 func (s *Scheduler) findInside(j *job, now Time) (placement, bool) {
 	for _, candidate := range s.witness.byWorkspace[j.spec.Workspace] {
-		nodes := s.insideMembers(candidate, j, now, func(n *node) bool { return n.free >= j.spec.Shape.Accelerators })
+		nodes := s.insideMembers(candidate, j, now, func(n *node) bool { return n.freeInside(j) >= j.spec.Shape.Accelerators })
 		if nodes != nil {
 			return placement{nodes: nodes, slot: candidate}, true
 		}
@@ -133,7 +138,7 @@
 		if candidate.nodes == nil || !candidate.idle() || !holds(candidate.shape, j.spec.Shape) || !s.relocate(candidate, j, now) {
 			continue
 		}
-		nodes := s.insideMembers(candidate, j, now, func(n *node) bool { return n.free >= j.spec.Shape.Accelerators })
+		nodes := s.insideMembers(candidate, j, now, func(n *node) bool { return n.freeInside(j) >= j.spec.Shape.Accelerators })
 		if nodes != nil {
 			return placement{nodes: nodes, slot: candidate}, true
 		}
@@ -141,6 +146,18 @@
 	return placement{}, false
 }
 
+// freeInside is what is free of a node for work inside a guarantee: all but what
+// is being taken back there for other guarantees.
+func (n *node) freeInside(j *job) int {
+	free := n.free
+	for _, kept := range n.reserved {
+		if kept.job != j && kept.slot != nil && kept.holds(n) {
+			free -= kept.job.spec.Shape.Accelerators
+		}
+	}
+	return free
+}
+
 // holds reports whether a shape fits into another.
 func holds(outer, inner structs.Shape) bool {
 	return outer.Members >= inner.Members && outer.Accelerators >= inner.Accelerators
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -44,7 +44,7 @@
 	for _, candidate := range s.witness.byWorkspace[j.spec.Workspace] {
 		rule := func(r *run) bool { return !r.pinned && !r.inside() }
 		nodes := s.insideMembers(candidate, j, now, func(n *node) bool {
-			return n.reclaimableFor(j) && n.free+stoppable(n, rule) >= j.spec.Shape.Accelerators
+			return n.freeInside(j)+stoppable(n, rule) >= j.spec.Shape.Accelerators
 		})
 		if nodes == nil {
 			continue
@@ -54,12 +54,6 @@
 	return nil
 }
 
-// reclaimableFor reports whether no other reclaimed guarantee waits for the node.
-func (n *node) reclaimableFor(j *job) bool {
-	kept := n.reserved
-	return kept == nil || !kept.firm || kept.job == j || kept.slot == nil
-}
-
 func stoppable(n *node, rule victimRule) int {
 	total := 0
 	for _, r := range n.runs {
@@ -142,16 +136,25 @@
 	return nodes, total
 }
 
+func (n *node) keptForAnother(j *job) bool {
+	for _, kept := range n.reserved {
+		if kept.job != j {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) clearCosts(r *rack, j *job, now Time, rule victimRule) []nodeCost {
 	var costs []nodeCost
 	for _, n := range r.nodes {
-		if n.reserved != nil && n.reserved.job != j || !s.admits(n, j, now) {
+		if n.keptForAnother(j) || !s.admits(n, j, now) {
 			continue
 		}
 		if j.pinned() && n.spare() < j.spec.Shape.Accelerators && s.ownShare(n, j) == nil {
 			continue
 		}
-		victims, ok := victimsOn(n, j.spec.Shape.Accelerators, rule)
+		victims, ok := victimsOn(n, j, rule)
 		if ok {
 			costs = append(costs, nodeCost{n, stopCost(victims)})
 		}
@@ -161,8 +164,9 @@
 
 // victimsOn chooses the runs to stop on a node, the cheapest first, until the
 // job's members fit.
-func victimsOn(n *node, wanted int, rule victimRule) ([]*run, bool) {
-	free := n.free
+func victimsOn(n *node, j *job, rule victimRule) ([]*run, bool) {
+	wanted := j.spec.Shape.Accelerators
+	free := n.freeInside(j)
 	var candidates []*run
 	for _, r := range n.runs {
 		if r.stopping {
@@ -204,7 +208,7 @@
 	}
 	var actions []Action
 	for _, n := range nodes {
-		victims, ok := victimsOn(n, j.spec.Shape.Accelerators, rule)
+		victims, ok := victimsOn(n, j, rule)
 		if !ok {
 			continue // a gang stopped on an earlier worker freed this one too
 		}
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -24,7 +24,7 @@
 	s.unreserve(kept.job)
 	kept.job.reservation = kept
 	for _, n := range kept.nodes {
-		n.reserved = kept
+		n.reserved = append(n.reserved, kept)
 	}
 	s.reservations = append(s.reservations, kept)
 }
@@ -36,16 +36,18 @@
 	}
 	j.reservation = nil
 	for _, n := range kept.nodes {
-		if n.reserved == kept {
-			n.reserved = nil
-		}
+		n.reserved = removeReservation(n.reserved, kept)
 	}
-	for i, known := range s.reservations {
-		if known == kept {
-			s.reservations = append(s.reservations[:i], s.reservations[i+1:]...)
-			return
+	s.reservations = removeReservation(s.reservations, kept)
+}
+
+func removeReservation(list []*reservation, gone *reservation) []*reservation {
+	for i, known := range list {
+		if known == gone {
+			return append(list[:i], list[i+1:]...)
 		}
 	}
+	return list
 }
 
 // findReserved places a job on the workers kept for it once all are free.
@@ -56,19 +58,14 @@
 	}
 	wanted := j.spec.Shape.Accelerators
 	for _, n := range kept.nodes {
-		if n.free < wanted || !s.admits(n, j, now) {
-			return placement{}, false
+		free := n.free
+		if kept.slot == nil {
+			free -= s.keptFor(n, j, now)
 		}
-		if kept.slot == nil && j.pinned() && n.spare() < wanted && s.ownShare(n, j) == nil {
+		if !kept.holds(n) || free < wanted || !s.admits(n, j, now) {
 			return placement{}, false
 		}
-	}
-	if kept.slot == nil {
-		return placement{nodes: kept.nodes}, true
-	}
-	for _, n := range kept.nodes {
-		member := kept.slot.member(n)
-		if member < 0 || kept.slot.used[member]+wanted > kept.slot.shape.Accelerators {
+		if kept.slot == nil && j.pinned() && n.spare() < wanted && s.ownShare(n, j) == nil {
 			return placement{}, false
 		}
 	}
@@ -86,7 +83,14 @@
 
 // holds reports whether a node still serves the reservation.
 func (k *reservation) holds(n *node) bool {
-	return n.usable() && (k.slot == nil || k.slot.member(n) >= 0)
+	return n.usable() && (k.slot == nil || k.slot.leaves(n, k.job.spec.Shape.Accelerators))
+}
+
+// leaves reports whether the slot has a member on the node with so many
+// accelerators not in use by inside runs.
+func (s *slot) leaves(n *node, wanted int) bool {
+	member := s.member(n)
+	return member >= 0 && s.used[member]+wanted <= s.shape.Accelerators
 }
 
 // reserveSoftly keeps for a blocked gang the workers that should be free first.
@@ -146,7 +150,7 @@
 func (s *Scheduler) roomTimes(r *rack, j *job, now Time) []nodeTime {
 	var times []nodeTime
 	for _, n := range r.nodes {
-		if !s.admits(n, j, now) || n.reserved != nil {
+		if !s.admits(n, j, now) || len(n.reserved) > 0 {
 			continue
 		}
 		if j.pinned() && n.spare() < j.spec.Shape.Accelerators && s.ownShare(n, j) == nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -85,7 +85,7 @@
 	case LogState:
 		s.logOut = !e.Available
 	case Tick:
-		return s.probe(now)
+		s.probe(now)
 	}
 	return nil
 }
@@ -175,6 +175,9 @@
 	s.cluster.give(r)
 	r.job.run = nil
 	delete(s.runs, r.id)
+	if r.pinned && s.witness.missing() > 0 {
+		s.witnessDirty = true // its room may seat a guarantee that had none
+	}
 }
 
 func (s *Scheduler) runEnded(e RunEnded, now Time) []Action {
@@ -189,11 +192,8 @@
 	switch e.Result {
 	case RunFinished:
 		s.estimates.learn(j, took)
-		for _, n := range r.nodes {
-			s.clearBlame(n)
-		}
 		s.forget(j)
-		return nil
+		return s.clearBlame(r.nodes)
 	case RunAborted:
 		s.forget(j)
 		return nil
@@ -430,7 +430,7 @@
 	for _, r := range c.racks {
 		var levels []int
 		for _, n := range r.nodes {
-			if n.usable() {
+			if n.trusted() {
 				levels = append(levels, n.free)
 			}
 		}
--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -30,7 +30,7 @@
 		return true
 	}
 	for _, n := range s.nodes {
-		if !n.usable() {
+		if !n.trusted() {
 			return true
 		}
 	}
@@ -134,7 +134,7 @@
 func (r *rack) room(shape structs.Shape) (nodes []*node, left int) {
 	var able []*node
 	for _, n := range r.nodes {
-		if n.usable() && n.spare() >= shape.Accelerators {
+		if n.trusted() && n.spare() >= shape.Accelerators {
 			able = append(able, n)
 			left += n.spare()
 		}
@@ -157,8 +157,66 @@
 		}
 	}
 	if len(missing) > 0 {
-		w.repack(c)
+		w.repack(c, w.idleSlots())
 	}
+	if w.missing() > 0 {
+		w.repack(c, w.movableSlots())
+	}
+}
+
+// missing is the number of slots that have no workers.
+func (w *witness) missing() int {
+	count := 0
+	for _, s := range w.slots {
+		if s.nodes == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// idleSlots are those without inside runs.
+func (w *witness) idleSlots() []*slot {
+	var idle []*slot
+	for _, s := range w.slots {
+		if s.nodes == nil || s.idle() {
+			idle = append(idle, s)
+		}
+	}
+	return idle
+}
+
+// movableSlots are those whose inside runs can all be stopped. Such a run may be
+// left behind as one outside its guarantee, since the guarantee can be reclaimed
+// for it elsewhere.
+func (w *witness) movableSlots() []*slot {
+	var movable []*slot
+	for _, s := range w.slots {
+		if !s.holdsPinned() {
+			movable = append(movable, s)
+		}
+	}
+	return movable
+}
+
+func (s *slot) holdsPinned() bool {
+	for _, n := range s.nodes {
+		for _, r := range n.runs {
+			if r.pinned && r.uses(s) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *run) uses(s *slot) bool {
+	for _, share := range r.shares {
+		if share == s {
+			return true
+		}
+	}
+	return false
 }
 
 // mend first replaces lost members within the rack, then moves the whole slot.
@@ -216,13 +274,13 @@
 	home := r.nodes[0].rack
 	var nodes []*node
 	for _, n := range r.nodes {
-		if n.rack != home || !n.usable() || n.spare()+own < shape.Accelerators {
+		if n.rack != home || !n.trusted() || n.spare()+own < shape.Accelerators {
 			return nil
 		}
 		nodes = append(nodes, n)
 	}
 	for _, n := range home.nodes {
-		if len(nodes) < shape.Members && n.usable() && n.spare() >= shape.Accelerators && !onNode(r, n) {
+		if len(nodes) < shape.Members && n.trusted() && n.spare() >= shape.Accelerators && !onNode(r, n) {
 			nodes = append(nodes, n)
 		}
 	}
@@ -244,7 +302,7 @@
 func (s *slot) replaceLost() bool {
 	r := s.nodes[0].rack
 	for i, n := range s.nodes {
-		if n.usable() {
+		if n.trusted() {
 			continue
 		}
 		if s.used[i] > 0 {
@@ -263,26 +321,69 @@
 
 func (s *slot) substitute(r *rack) *node {
 	for _, n := range r.nodes {
-		if n.usable() && s.member(n) < 0 && n.spare() >= s.shape.Accelerators {
+		if n.trusted() && s.member(n) < 0 && n.spare() >= s.shape.Accelerators {
 			return n
 		}
 	}
 	return nil
 }
 
-// repack lays out all slots without inside runs anew, the largest first. If
-// that seats fewer slots than before, the old layout is put back.
-func (w *witness) repack(c *cluster) {
-	idle, before := w.lift()
-	seatedBefore := len(idle)
-	for _, s := range w.slots {
-		if s.nodes == nil && before[s] == nil {
-			idle = append(idle, s)
+// seating is where a slot was before it was moved.
+type seating struct {
+	nodes []*node
+	used  []int
+}
+
+// repack lays out the given slots anew, the largest first. If that does not
+// seat more slots than before, the old layout is put back.
+func (w *witness) repack(c *cluster, slots []*slot) {
+	before := lift(slots)
+	seatedBefore := 0
+	for _, old := range before {
+		if old.nodes != nil {
+			seatedBefore++
+		}
+	}
+	sort.SliceStable(slots, func(i, j int) bool { return largerShape(slots[i].shape, slots[j].shape) })
+	if w.seat(c, slots) <= seatedBefore {
+		putBack(slots, before)
+		return
+	}
+	for _, s := range slots {
+		s.leaveBehind(before[s])
+	}
+}
+
+// lift takes slots off their workers, whatever runs inside them.
+func lift(slots []*slot) map[*slot]seating {
+	before := map[*slot]seating{}
+	for _, s := range slots {
+		before[s] = seating{s.nodes, s.used}
+		s.unassign()
+	}
+	return before
+}
+
+func putBack(slots []*slot, before map[*slot]seating) {
+	for _, s := range slots {
+		s.unassign()
+		if before[s].nodes != nil {
+			s.assign(before[s].nodes)
+			s.used = before[s].used
 		}
 	}
-	sort.SliceStable(idle, func(i, j int) bool { return largerShape(idle[i].shape, idle[j].shape) })
-	if w.seat(c, idle) < seatedBefore {
-		putBack(idle, before)
+}
+
+// leaveBehind turns the runs inside a slot's old place into runs outside it.
+func (s *slot) leaveBehind(old seating) {
+	for _, n := range old.nodes {
+		for _, r := range n.runs {
+			for i, share := range r.shares {
+				if share == s {
+					r.shares[i] = nil
+				}
+			}
+		}
 	}
 }
 
@@ -346,7 +447,7 @@
 func (r *rack) signature() string {
 	var spares []byte
 	for _, n := range r.nodes {
-		if n.usable() {
+		if n.trusted() {
 			spares = append(spares, byte(n.spare()))
 		}
 	}
@@ -359,7 +460,7 @@
 func (r *rack) choices(shape structs.Shape, try func([]*node) bool) bool {
 	var able []*node
 	for _, n := range r.nodes {
-		if n.usable() && n.spare() >= shape.Accelerators {
+		if n.trusted() && n.spare() >= shape.Accelerators {
 			able = append(able, n)
 		}
 	}
@@ -394,7 +495,8 @@
 	if !j.pinned() {
 		return placement{}, false
 	}
-	idle, before := s.witness.lift()
+	idle := s.witness.idleSlots()
+	before := lift(idle)
 	if nodes := s.findOutside(j, now); nodes != nil {
 		for _, n := range nodes {
 			n.pinned += j.spec.Shape.Accelerators
@@ -411,28 +513,6 @@
 	return placement{}, false
 }
 
-// lift takes the seated slots without inside runs off their workers.
-func (w *witness) lift() (idle []*slot, before map[*slot][]*node) {
-	before = map[*slot][]*node{}
-	for _, s := range w.slots {
-		if s.nodes != nil && s.idle() {
-			idle = append(idle, s)
-			before[s] = s.nodes
-			s.unassign()
-		}
-	}
-	return idle, before
-}
-
-func putBack(slots []*slot, before map[*slot][]*node) {
-	for _, s := range slots {
-		s.unassign()
-		if before[s] != nil {
-			s.assign(before[s])
-		}
-	}
-}
-
 // fitsBesideGuarantees reports whether the known workers, when empty, can hold
 // a job that may not be stopped together with the guarantees of others.
 func (s *Scheduler) fitsBesideGuarantees(spec JobSpec) bool {
