--- a/command/command.go
+++ b/command/command.go
@@ -45,6 +45,7 @@
 		"targets":  {"targets get|propose: read or change the operators' targets", runTargets},
 		"refusals": {"refusals -addr ADDR [-workspace W]: print recorded refusals", runRefusals},
 		"timeline": {"timeline [-job ID] [-workspace W] ADDR...: merge the events of processes", runTimeline},
+		"replay":   {"replay -settings FILE [-policy NAME] TRACE: replay a recorded trace", runReplay},
 		"version":  {"version: print the version", runVersion},
 	}
 }
