--- a/replay/replay.go
+++ b/replay/replay.go
@@ -265,8 +265,9 @@
 		covers = covers || (shape.Members >= job.event.Members && shape.Accelerators >= job.event.Accelerators)
 	}
 	wanted := job.event.Shape().Total() + d.inUse[job.event.Workspace]
-	for other := range d.waiting {
-		if other.event.Workspace == job.event.Workspace {
+	for _, other := range d.order {
+		waits := other != job && other.phase == jobQueued // also one that was stopped for others
+		if waits && other.event.Workspace == job.event.Workspace {
 			wanted += other.event.Shape().Total()
 		}
 	}
--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,158 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/teaselcleat/teaselcleat/scheduler"
+	"github.com/teaselcleat/teaselcleat/structs"
+	"github.com/teaselcleat/teaselcleat/targets"
+)
+
+// size is an inventory to measure: the users' own, one between, and the target.
+type size struct {
+	workers, accelerators, perRack, workspaces int
+}
+
+var sizes = []size{{50, 8, 8, 4}, {500, 8, 8, 40}, {6800, 2, 8, 190}}
+
+func (s size) String() string { return fmt.Sprintf("workers=%d", s.workers) }
+
+func (s size) specs() []scheduler.WorkerSpec {
+	var specs []scheduler.WorkerSpec
+	for n := range s.workers {
+		rack := n / s.perRack
+		specs = append(specs, scheduler.WorkerSpec{ID: fmt.Sprintf("w%d", n), Rack: fmt.Sprintf("r%d", rack),
+			AvailabilityZone: fmt.Sprintf("z%d", rack%10), Accelerators: s.accelerators})
+	}
+	return specs
+}
+
+func (s size) targets() *targets.Targets {
+	t := &targets.Targets{Workspaces: map[string]targets.Workspace{}, Classes: map[string]targets.Class{}}
+	for n := range s.workspaces {
+		name := fmt.Sprintf("ws%d", n)
+		t.Workspaces[name] = targets.Workspace{Name: name, Guarantee: []structs.Shape{{Members: 4, Accelerators: s.accelerators, Adjacent: true}}}
+	}
+	return t
+}
+
+// loaded is a scheduler at eight tenths of its accelerators, with a queue of
+// blocked gangs.
+func (s size) loaded(b *testing.B) *scheduler.Scheduler {
+	b.Helper()
+	built := scheduler.New(scheduler.Config{Workers: s.specs(), Targets: s.targets()})
+	total := s.workers * s.accelerators * 8 / 10
+	for n := 0; total > 0; n++ {
+		job := s.job(fmt.Sprintf("run%d", n), n, 1+n%4, 1)
+		if len(placed(built.Step(scheduler.Submitted{Job: job}, 0))) == 0 {
+			b.Fatal("the load does not fit")
+		}
+		total -= job.Shape.Total()
+	}
+	return built
+}
+
+func (s size) job(id string, n, members, accelerators int) scheduler.JobSpec {
+	return scheduler.JobSpec{ID: id, Workspace: fmt.Sprintf("ws%d", n%s.workspaces), Class: "c",
+		Shape:    structs.Shape{Members: members, Accelerators: accelerators},
+		Deadline: 100 * 3600 * scheduler.Second, Declared: 3600 * scheduler.Second, Idempotent: true}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, s := range sizes {
+		for _, members := range []int{1, 8, 128} {
+			if members > s.workers/5 {
+				continue
+			}
+			b.Run(fmt.Sprintf("%s/gang=%d", s, members), func(b *testing.B) {
+				built := s.loaded(b)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for n := range b.N {
+					found := placed(built.Step(scheduler.Submitted{Job: s.job(fmt.Sprintf("j%d", n), n, members, 1)}, 1))
+					if len(found) != 1 {
+						b.Fatal("not placed")
+					}
+					b.StopTimer()
+					built.Step(scheduler.RunEnded{Run: found[0].Run, Result: scheduler.RunAborted}, 1)
+					b.StartTimer()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkRefuse measures a gang that no inventory holds.
+func BenchmarkRefuse(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			built := s.loaded(b)
+			job := s.job("impossible", 0, s.perRack+1, 1)
+			job.Shape.Adjacent = true
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				built.Step(scheduler.Submitted{Job: job}, 1)
+			}
+		})
+	}
+}
+
+// BenchmarkBlocked measures a step while every workspace has a blocked gang.
+func BenchmarkBlocked(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			built := s.loaded(b)
+			for n := range s.workspaces {
+				job := s.job(fmt.Sprintf("blocked%d", n), n, min(128, s.workers), s.accelerators)
+				job.Shape.Adjacent = s.perRack >= 128
+				built.Step(scheduler.Submitted{Job: job}, 1)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				built.Step(scheduler.Tick{}, scheduler.Time(2+n*50)) // the placer's tick
+			}
+		})
+	}
+}
+
+func BenchmarkCancelWaveOf10000(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				built := s.loaded(b)
+				for n := range 10000 {
+					job := s.job(fmt.Sprintf("q%d", n), n, min(128, s.workers), s.accelerators)
+					built.Step(scheduler.Submitted{Job: job}, 1)
+				}
+				b.StartTimer()
+				for n := range 10000 {
+					built.Step(scheduler.Cancelled{Job: fmt.Sprintf("q%d", n)}, 1)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkLoseRack(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			built := s.loaded(b)
+			specs := s.specs()
+			b.ResetTimer()
+			for range b.N {
+				for n := range s.perRack {
+					built.Step(scheduler.WorkerDown{Worker: specs[n].ID}, 1)
+				}
+				b.StopTimer()
+				for n := range s.perRack {
+					built.Step(scheduler.WorkerUp{Worker: specs[n]}, 1)
+				}
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -78,6 +78,7 @@
 	for _, kept := range append([]*reservation(nil), s.reservations...) {
 		if now >= kept.expires || !all(kept.nodes, kept.holds) || !all(kept.nodes, kept.comes) {
 			s.unreserve(kept.job)
+			s.roomChanged = true
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -33,6 +33,9 @@
 	seq          int64
 	epoch        int64
 	logOut       bool
+	roomChanged  bool   // accelerators or workers may have come free since the last full pass
+	nextPass     Time   // when the whole queue is tried again in any case
+	touched      *group // of the job that the present event concerns
 }
 
 // New returns a scheduler with the given workers up.
@@ -56,14 +59,28 @@
 	return s
 }
 
-// Step implements Policy.
+// Step implements Policy. All of the queue is tried again when room may have
+// come free, and once in a while for what time alone changes; an event that
+// concerns one group of alike jobs tries that group only, so that a burst of
+// submissions or a wave of cancellations costs by its own size.
 func (s *Scheduler) Step(event Event, now Time) []Action {
 	actions := s.take(event, now)
 	if s.witnessDirty {
 		actions = append(actions, s.repairWitness()...)
+		s.roomChanged = true
 	}
 	s.expireReservations(now)
-	return append(actions, s.pass(now)...)
+	touched := s.touched
+	s.touched = nil
+	if s.roomChanged || now >= s.nextPass {
+		s.roomChanged = false
+		s.nextPass = now + tryEvery
+		return append(actions, s.pass(s.queue.order, now)...)
+	}
+	if touched != nil {
+		return append(actions, s.pass([]*group{touched}, now)...)
+	}
+	return actions
 }
 
 func (s *Scheduler) take(event Event, now Time) []Action {
@@ -75,8 +92,10 @@
 	case Adopted:
 		s.adopted(e)
 	case RunEnded:
+		s.roomChanged = true
 		return s.runEnded(e, now)
 	case WorkerUp:
+		s.roomChanged = true
 		s.workerUp(e.Worker)
 	case WorkerDown:
 		return s.workerDown(e.Worker)
@@ -84,6 +103,7 @@
 		s.setTargets(e.Targets)
 	case LogState:
 		s.logOut = !e.Available
+		s.roomChanged = true
 	case Tick:
 		s.probe(now)
 	}
@@ -119,6 +139,7 @@
 	j.order = j.latestStart - s.headStart(j)
 	j.waitSince = now
 	s.queue.add(j)
+	s.touched = j.group
 }
 
 // headStartShare is the part of its allowed time by which an adjacent gang that
@@ -162,7 +183,7 @@
 		j.run.stopping = true
 		return []Action{Abort{Job: id, Run: j.run.id, Reason: structs.ReasonCancelled}}
 	}
-	s.forget(j)
+	s.forget(j) // jobs alike to it are no less blocked than it was
 	return nil
 }
 
@@ -357,9 +378,9 @@
 // pass tries to place queued jobs: the first of each group of alike jobs, those
 // whose target is nearest out of reach first. A group whose first job is
 // blocked waits for the next pass.
-func (s *Scheduler) pass(now Time) []Action {
-	first := make(contenders, 0, len(s.queue.order))
-	for _, g := range s.queue.order {
+func (s *Scheduler) pass(groups []*group, now Time) []Action {
+	first := make(contenders, 0, len(groups))
+	for _, g := range groups {
 		if len(g.jobs) > 0 && !(s.logOut && g.key.pinned) {
 			first = append(first, s.contend(g, now))
 		}
