--- a/adapters/platformhttp/platformhttp.go
+++ b/adapters/platformhttp/platformhttp.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,6 +55,10 @@
 type Client struct {
 	base string
 	http *http.Client
+
+	mu      sync.Mutex
+	listTag string // entity tag of the last list
+	list    []platform.Listed
 }
 
 // New returns a client of the platform at a base URL.
@@ -93,16 +98,42 @@
 	return platform.Batch{First: reply.First, Records: reply.Records, End: reply.End}, nil
 }
 
-// List implements platform.InstanceList.
+// List implements platform.InstanceList. An unchanged list is not sent again.
 func (c *Client) List(ctx context.Context) ([]platform.Listed, error) {
-	var list []platform.Listed
-	status, err := c.call(ctx, http.MethodGet, "/instances", nil, &list)
+	c.mu.Lock()
+	tag := c.listTag
+	c.mu.Unlock()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/instances", nil)
 	if err != nil {
-		return nil, err
+		return nil, eris.Wrap(err, "platform request")
 	}
-	if status != http.StatusOK {
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, platform.ErrUnavailable
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, platform.ErrUnavailable
+	}
+	return c.takeList(response, data)
+}
+
+func (c *Client) takeList(response *http.Response, data []byte) ([]platform.Listed, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if response.StatusCode == http.StatusNotModified {
+		return c.list, nil
+	}
+	var list []platform.Listed
+	if response.StatusCode != http.StatusOK || json.Unmarshal(data, &list) != nil {
 		return nil, platform.ErrUnavailable
 	}
+	c.list = list
+	c.listTag = response.Header.Get("ETag")
 	return list, nil
 }
 
--- /dev/null
+++ b/adapters/workerhttp/bench_test.go
@@ -0,0 +1,76 @@
+package workerhttp_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/adapters/workerhttp"
+	"github.com/teaselcleat/teaselcleat/standin"
+	"github.com/teaselcleat/teaselcleat/worker"
+)
+
+// counted counts the bytes of a connection, both ways.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return counted{conn, l.bytes}, err
+}
+
+// BenchmarkRenew measures one poll of a worker that holds leases: the time of
+// both sides together, and the bytes above TCP both ways.
+func BenchmarkRenew(b *testing.B) {
+	for _, leases := range []int{1, 8} {
+		b.Run(fmt.Sprintf("leases=%d", leases), func(b *testing.B) {
+			var bytes atomic.Int64
+			held := standin.NewWorker(leases)
+			server := httptest.NewUnstartedServer(http.Handler(held))
+			server.Listener = countedListener{server.Listener, &bytes}
+			server.Start()
+			defer server.Close()
+			renew := worker.Renew{Term: 1, TTL: time.Minute}
+			for n := range leases {
+				run := fmt.Sprintf("j9uye37u6dhmx#1.%d", n)
+				if err := held.Reserve(worker.Reserve{Term: 1, Run: run, Job: "j9uye37u6dhmx", Accelerators: 1, TTL: time.Minute}); err != nil {
+					b.Fatal(err)
+				}
+				renew.Runs = append(renew.Runs, run)
+			}
+			client := workerhttp.New()
+			address := server.Listener.Addr().String()
+			b.ResetTimer()
+			for range b.N {
+				if _, err := client.Renew(context.Background(), address, renew); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/op")
+		})
+	}
+}
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/teaselcleat/teaselcleat/scheduler"
@@ -156,3 +157,21 @@
 		})
 	}
 }
+
+// BenchmarkState reports the memory of a loaded scheduler.
+func BenchmarkState(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for range b.N {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				built := s.loaded(b)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(built)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/(1<<20), "state-MB")
+		})
+	}
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"github.com/teaselcleat/teaselcleat/adapters/platformhttp"
@@ -266,7 +267,18 @@
 
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
 	list, _ := p.List(r.Context()) // the stand-in's list never fails
-	encode(w, http.StatusOK, list)
+	data, err := json.Marshal(list)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	tag := `"` + strconv.FormatUint(xxhash.Sum64(data), 36) + `"`
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(data) // the client is gone if this fails
 }
 
 func (p *Platform) serveFixed(w http.ResponseWriter, r *http.Request) {
