--- a/adapters/runnerhttp/runnerhttp.go
+++ b/adapters/runnerhttp/runnerhttp.go
@@ -41,7 +41,7 @@
 
 // Connection limits.
 const (
-	maxConnections = 16 // per runner and instance; 64 are shared by all instances
+	maxConnections = 8 // per runner and instance, so that seven instances stay within its 64
 	dialTimeout    = time.Second
 	idleTimeout    = 10 * time.Second
 	refusedRetry   = time.Second
--- /dev/null
+++ b/gangs/running.go
@@ -0,0 +1,125 @@
+package gangs
+
+import (
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/scheduler"
+	"github.com/teaselcleat/teaselcleat/structs"
+	"github.com/teaselcleat/teaselcleat/worker"
+)
+
+func (c *Coordinator) workerState(e WorkerState, now time.Time) []Action {
+	var actions []Action
+	for _, g := range c.sorted() {
+		m := g.member(e.Worker)
+		if m == nil || e.Err != nil {
+			continue
+		}
+		if g.phase < phaseStarting {
+			continue
+		}
+		reported := reportedPhase(e.State, g.run)
+		if reported != "" && e.Asked.After(m.leased) {
+			m.leased = e.Asked
+		}
+		if e.Asked.Before(g.since) {
+			continue // asked before the run came to its present step
+		}
+		m.phase = reported
+		m.heard = true
+		actions = append(actions, c.review(g, now)...)
+	}
+	if e.Err != nil {
+		return actions
+	}
+	return append(actions, c.releaseUnknown(e)...)
+}
+
+func reportedPhase(state worker.State, run string) worker.TaskPhase {
+	for _, task := range state.Tasks {
+		if task.Run == run {
+			return task.Phase
+		}
+	}
+	return ""
+}
+
+// releaseUnknown frees what earlier holders left on a worker.
+func (c *Coordinator) releaseUnknown(e WorkerState) []Action {
+	var actions []Action
+	for _, task := range e.State.Tasks {
+		if c.gangs[task.Run] == nil {
+			actions = append(actions, Call{Kind: CallRelease, Worker: e.Worker, Run: task.Run, Job: task.Job})
+		}
+	}
+	return actions
+}
+
+// review judges a run by what its members last reported.
+func (c *Coordinator) review(g *gang, now time.Time) []Action {
+	if g.phase != phaseRunning && g.phase != phaseStopping {
+		return nil
+	}
+	if g.halting != nil {
+		return c.halt(g, *g.halting, now)
+	}
+	finished, down, checkpointed, reserved := 0, 0, 0, 0
+	for _, m := range g.members {
+		switch m.phase {
+		case worker.TaskFailed:
+			return c.halt(g, halt{structs.ReasonTaskFailed, m.Worker, scheduler.RunFailed}, now)
+		case "":
+			return c.halt(g, halt{structs.ReasonMemberLost, m.Worker, scheduler.RunLost}, now)
+		case worker.TaskReserved:
+			reserved++
+		case worker.TaskFinished:
+			finished++
+			down++
+			checkpointed++
+		case worker.TaskCheckpointed:
+			down++
+			checkpointed++
+		case worker.TaskStopped:
+			down++
+		}
+	}
+	switch {
+	case reserved == len(g.members):
+		return c.withdraw(g, "", now)
+	case reserved > 0 && g.allHeard():
+		return c.halt(g, halt{structs.ReasonMemberLost, "", scheduler.RunLost}, now)
+	case finished == len(g.members):
+		return c.finished(g, now)
+	case g.phase == phaseStopping && down == len(g.members):
+		return c.stopped(g, checkpointed == len(g.members), now)
+	case g.phase == phaseStopping && now.Sub(g.since) > c.config.ReclaimWithin+c.config.LeaseTTL:
+		return c.stopped(g, false, now)
+	}
+	return nil
+}
+
+// allHeard reports whether every member has answered under this term. From
+// then on no start of an earlier holder can count any more, so a member of an
+// adopted run that is only reserved will never start.
+func (g *gang) allHeard() bool {
+	for _, m := range g.members {
+		if !m.heard {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Coordinator) finished(g *gang, now time.Time) []Action {
+	actions := []Action{AppendEnd{structs.End{Job: g.job, Run: g.run, Term: c.config.Term, Outcome: structs.OutcomeRan}}}
+	return append(actions, g.release(scheduler.RunFinished, "", now)...)
+}
+
+func (c *Coordinator) stopped(g *gang, checkpointed bool, now time.Time) []Action {
+	result := scheduler.RunStopped
+	if checkpointed {
+		result = scheduler.RunPreempted
+	}
+	stop := structs.Stop{Job: g.job, Run: g.run, Term: c.config.Term, Reason: g.reason, Checkpointed: checkpointed}
+	return append(g.release(result, "", now), AppendStop{stop})
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -127,8 +127,8 @@
 
 func (i *Instance) build() {
 	i.replica = replica.New(i.holder)
-	i.ledgerWriter = logstream.NewWriter(i.platformLog, platform.StreamLedger, i.settings.PendingRecords, i.registry)
-	i.refusalWriter = logstream.NewWriter(i.platformLog, platform.StreamRefusals, i.settings.PendingRecords, i.registry)
+	i.ledgerWriter = logstream.NewWriter(i.platformLog, platform.StreamLedger, logstream.PromptInterval, i.settings.PendingRecords, i.registry)
+	i.refusalWriter = logstream.NewWriter(i.platformLog, platform.StreamRefusals, logstream.PatientInterval, i.settings.PendingRecords, i.registry)
 	i.ledgerTail = logstream.NewTailer(i.platformLog, platform.StreamLedger, i.replica.LedgerSink(), i.now)
 	i.targetsTail = logstream.NewTailer(i.platformLog, platform.StreamTargets, i.replica.TargetsSink(), i.now)
 	i.refusals = newRefusalBook(i.refusalWriter, i.holder)
--- a/logstream/writer.go
+++ b/logstream/writer.go
@@ -21,12 +21,14 @@
 const (
 	maxGroupRecords = 256
 	maxGroupBytes   = 512 << 10
-	// MinAppendInterval spaces the appends of one writer, so that all instances
-	// together stay within the log's append budget.
-	MinAppendInterval = 20 * time.Millisecond
-	appendTimeout     = 5 * time.Second
-	firstBackoff      = 50 * time.Millisecond
-	lastBackoff       = time.Second
+	// PromptInterval spaces the appends of a writer that callers wait for, and
+	// PatientInterval those of one that nobody waits for. Seven instances with one
+	// of each come to at most 420 appends a second.
+	PromptInterval  = 20 * time.Millisecond
+	PatientInterval = 100 * time.Millisecond
+	appendTimeout   = 5 * time.Second
+	firstBackoff    = 50 * time.Millisecond
+	lastBackoff     = time.Second
 )
 
 // probeRecord is appended when an append failed and nothing is left to append.
@@ -45,6 +47,7 @@
 type Writer struct {
 	log       platform.Log
 	stream    string
+	interval  time.Duration // least time between two appends
 	capacity  int
 	queue     *ring.Ring[Entry]
 	mu        sync.Mutex
@@ -57,8 +60,8 @@
 
 // NewWriter returns a writer that holds at most capacity entries in its queue
 // and as many again that are being retried.
-func NewWriter(log platform.Log, stream string, capacity int, registry metrics.Registry) *Writer {
-	w := &Writer{log: log, stream: stream, capacity: capacity, queue: ring.New[Entry](capacity)}
+func NewWriter(log platform.Log, stream string, interval time.Duration, capacity int, registry metrics.Registry) *Writer {
+	w := &Writer{log: log, stream: stream, interval: interval, capacity: capacity, queue: ring.New[Entry](capacity)}
 	w.available.Store(true)
 	w.appends = metrics.GetOrRegisterCounter("log."+stream+".appends", registry)
 	w.records = metrics.GetOrRegisterCounter("log."+stream+".records", registry)
@@ -107,7 +110,7 @@
 	backoff := firstBackoff
 	for w.fill(ctx) {
 		started := time.Now()
-		pause := MinAppendInterval
+		pause := w.interval
 		if w.appendGroup(ctx) {
 			backoff = firstBackoff
 		} else {
