--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -337,3 +338,22 @@
 	is.Equal(s.request(late, "surge", "", "x").outcome, structs.OutcomeRan)
 	is.Equal(s.request(late, "flow", "k", "x").reason, structs.ReasonLogUnavailable)
 }
+
+// A guarantee is taken back from borrowers that run for ever, also from one
+// that does not checkpoint.
+func TestAGuaranteeIsTakenBackFromBorrowers(t *testing.T) {
+	is := is.New(t)
+	s := newSystemWith(t, 2, 1, 4, strings.Replace(testTargets, "guarantee = 1x8", "guarantee = 4x8", 1))
+	s.post(s.workers[1], "/control", standin.WorkerFaults{NoCheckpoint: true})
+	_, status := s.submit(s.instances[0], service.JobRequest{Workspace: "b", Class: "wear", Key: "long", Shape: gang4x8, Payload: "forever"})
+	is.Equal(status, http.StatusAccepted)
+	eventually(t, "the borrower's tasks execute", func() bool {
+		for _, intervals := range s.history() {
+			return len(intervals) == 4
+		}
+		return false
+	})
+	owner, _ := s.submit(s.instances[1], service.JobRequest{Workspace: "a", Class: "wear", Key: "mine", Shape: gang4x8, Payload: "run_ms=300"})
+	eventually(t, "the owner's gang ends", func() bool { return s.job(s.instances[0], owner.ID).Outcome == structs.OutcomeRan })
+	eventually(t, "the borrower runs again", func() bool { return len(s.history()) == 3 }) // the borrower twice, the owner once
+}
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -124,6 +124,11 @@
 }
 
 func newSystem(t testing.TB, instances, runners, workers int) *system {
+	t.Helper()
+	return newSystemWith(t, instances, runners, workers, testTargets)
+}
+
+func newSystemWith(t testing.TB, instances, runners, workers int, document string) *system {
 	t.Helper()
 	s := &system{t: t, platform: start(t, "platform", "standin", "-kind", "platform")}
 	for n := range runners {
@@ -139,7 +144,7 @@
 		s.addInstance(fmt.Sprintf("entry-%d", n))
 	}
 	s.waitReady()
-	s.propose(0, testTargets)
+	s.propose(0, document)
 	return s
 }
 
--- a/targets/targets_test.go
+++ b/targets/targets_test.go
@@ -49,6 +49,15 @@
 	}
 }
 
+func TestADoubledProposalIsAcceptedOnce(t *testing.T) {
+	is := is.New(t)
+	fold := targets.NewFold()
+	proposal := &structs.Proposal{ID: "p", Document: valid}
+	is.Equal(fold.Apply(proposal), targets.Decision{Accepted: true, Version: 1})
+	is.Equal(fold.Apply(proposal), targets.Decision{Accepted: true, Version: 1}) // the same word for the same proposal
+	is.Equal(fold.Apply(&structs.Proposal{ID: "q", Document: valid}).Reason, structs.ReasonVersionConflict)
+}
+
 // Operators race, appends are doubled, instances restart from snapshots of any
 // age, their own or a peer's: versions never go back, and instances that have
 // folded equally far agree.
@@ -79,7 +88,12 @@
 					return
 				}
 				before := fold.Version
-				fold.Apply(&log[fold.Next])
+				proposal := log[fold.Next]
+				repeated := fold.Next > 0 && proposal.ID == log[fold.Next-1].ID
+				decision := fold.Apply(&proposal)
+				if decision.Accepted && proposal.Base != before && !repeated {
+					t.Fatalf("a proposal made from version %d was accepted at version %d", proposal.Base, before)
+				}
 				if fold.Version < before || fold.Version > before+1 {
 					t.Fatalf("version went from %d to %d", before, fold.Version)
 				}
