--- a/gangs/coordinator.go
+++ b/gangs/coordinator.go
@@ -34,9 +34,6 @@
 	return &Coordinator{config: config, gangs: map[string]*gang{}, nextPoll: map[string]time.Time{}}
 }
 
-// Runs is the number of runs under way.
-func (c *Coordinator) Runs() int { return len(c.gangs) }
-
 // Step takes an event and returns what to do.
 func (c *Coordinator) Step(event Event, now time.Time) []Action {
 	switch e := event.(type) {
--- a/gangs/start.go
+++ b/gangs/start.go
@@ -67,7 +67,7 @@
 
 func (c *Coordinator) startRead(e StartRead, now time.Time) []Action {
 	g := c.gangs[e.Run]
-	if g == nil {
+	if g == nil || g.phase == phaseReleasing {
 		return nil
 	}
 	if !e.Valid {
--- a/instance/bridge.go
+++ b/instance/bridge.go
@@ -39,7 +39,7 @@
 }
 
 func (b *bridge) run(ctx context.Context) {
-	for pause(ctx, heartbeatEvery) {
+	for logstream.Sleep(ctx, heartbeatEvery) {
 		b.heartbeat()
 		b.tellLeaving()
 		b.copyPending(b.instance.ledgerWriter, platform.StreamLedger)
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/balancer"
+	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/upstream"
 )
@@ -28,7 +29,7 @@
 
 // run serves waiting requests when a runner becomes usable by time alone.
 func (d *dispatcher) run(ctx context.Context) {
-	for pause(ctx, dispatchEvery) {
+	for logstream.Sleep(ctx, dispatchEvery) {
 		d.mu.Lock()
 		if d.balancer.Waiting() > 0 {
 			d.grant(time.Now())
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/scheduler"
 	"github.com/teaselcleat/teaselcleat/service"
@@ -167,7 +168,7 @@
 	i.appendRecord(&structs.Record{Kind: structs.RecordCancel, Cancel: &structs.Cancel{Job: id}}, nil)
 	ctx, cancel := context.WithTimeout(ctx, i.settings.ClaimWait)
 	defer cancel()
-	for pause(ctx, pollFold) {
+	for logstream.Sleep(ctx, pollFold) {
 		entry = i.replica.Job(id)
 		if entry == nil || entry.Cancelled || entry.Phase == ledger.JobEnded {
 			return structs.Reply{Outcome: structs.OutcomeAccepted, ID: id}
@@ -241,31 +242,17 @@
 func (i *Instance) Refusals(ctx context.Context, workspace string) ([]structs.Refusal, error) {
 	seen := map[string]bool{}
 	list := []structs.Refusal{}
-	next := int64(0)
-	for {
-		batch, err := i.platformLog.Read(ctx, platform.StreamRefusals, next, 0)
-		if gone, ok := err.(*platform.RetentionError); ok {
-			next = gone.First
-			continue
+	err := logstream.ReadAll(ctx, i.platformLog, platform.StreamRefusals, func(data []byte) {
+		var refusal structs.Refusal
+		if json.Unmarshal(data, &refusal) != nil || refusal.ID == "" || seen[refusal.ID] {
+			return // a probe, or a copy that two instances wrote
 		}
-		if err != nil {
-			return nil, err
+		seen[refusal.ID] = true
+		if workspace == "" || refusal.Workspace == workspace {
+			list = append(list, refusal)
 		}
-		for _, data := range batch.Records {
-			var refusal structs.Refusal
-			if json.Unmarshal(data, &refusal) != nil || refusal.ID == "" || seen[refusal.ID] {
-				continue
-			}
-			seen[refusal.ID] = true
-			if workspace == "" || refusal.Workspace == workspace {
-				list = append(list, refusal)
-			}
-		}
-		next = batch.First + int64(len(batch.Records))
-		if next >= batch.End || len(batch.Records) == 0 {
-			return list, nil
-		}
-	}
+	})
+	return list, err
 }
 
 // Events implements service.Service.
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/structs"
 )
@@ -31,7 +32,7 @@
 
 func (k *keeper) run(ctx context.Context) {
 	i := k.instance
-	for pause(ctx, keeperTick) {
+	for logstream.Sleep(ctx, keeperTick) {
 		if i.replica.Term().Holder != i.holder || !i.logAvailable() {
 			continue
 		}
--- a/instance/placer.go
+++ b/instance/placer.go
@@ -10,6 +10,7 @@
 
 	"github.com/teaselcleat/teaselcleat/gangs"
 	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/ring"
 	"github.com/teaselcleat/teaselcleat/scheduler"
@@ -418,7 +419,7 @@
 	limit, cancel := context.WithTimeout(ctx, handOverWait)
 	defer cancel()
 	for i.replica.Term().Holder == i.holder && len(i.link.Connected()) > 0 {
-		if !pause(limit, pollFold) {
+		if !logstream.Sleep(limit, pollFold) {
 			return nil
 		}
 	}
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/platform"
 )
 
@@ -33,7 +34,7 @@
 			r.announce(ctx)
 		}
 		r.look(ctx)
-		pause(ctx, listEvery)
+		logstream.Sleep(ctx, listEvery)
 	}
 }
 
--- a/instance/streams.go
+++ b/instance/streams.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/peers/peerpb"
 	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/structs"
@@ -47,7 +48,7 @@
 			i.restored.Store(true)
 			return true
 		}
-		pause(ctx, restoreRetry)
+		logstream.Sleep(ctx, restoreRetry)
 	}
 	return false
 }
@@ -71,27 +72,13 @@
 	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
 	assembler := ledger.NewAssembler()
-	next := int64(0)
-	for {
-		batch, err := i.platformLog.Read(ctx, platform.StreamSnapshots, next, 0)
-		if gone, ok := err.(*platform.RetentionError); ok {
-			next = gone.First
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		for _, data := range batch.Records {
-			var part ledger.Part
-			if json.Unmarshal(data, &part) == nil {
-				assembler.Add(part)
-			}
-		}
-		next = batch.First + int64(len(batch.Records))
-		if next >= batch.End || len(batch.Records) == 0 {
-			return assembler.Newest(), nil
+	err := logstream.ReadAll(ctx, i.platformLog, platform.StreamSnapshots, func(data []byte) {
+		var part ledger.Part
+		if json.Unmarshal(data, &part) == nil {
+			assembler.Add(part)
 		}
-	}
+	})
+	return assembler.Newest(), err
 }
 
 // peerSnapshot asks the connected instances for their state and keeps the one
@@ -116,7 +103,7 @@
 
 // healGaps restores a newer snapshot when retention overtook this instance.
 func (i *Instance) healGaps(ctx context.Context) {
-	for pause(ctx, restoreRetry) {
+	for logstream.Sleep(ctx, restoreRetry) {
 		if !i.replica.Gap() {
 			continue
 		}
@@ -157,15 +144,3 @@
 	i.log.WithField("kind", string(record.Kind)).Error("ledger_writer_full")
 	return false
 }
-
-// pause waits and reports false if ctx ended first.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/logstream/tailer.go
+++ b/logstream/tailer.go
@@ -58,7 +58,7 @@
 			backoff = firstBackoff
 			continue
 		}
-		if !sleep(ctx, backoff) {
+		if !Sleep(ctx, backoff) {
 			return
 		}
 		backoff = min(2*backoff, lastBackoff)
--- a/logstream/writer.go
+++ b/logstream/writer.go
@@ -117,7 +117,7 @@
 			pause = backoff
 			backoff = min(2*backoff, lastBackoff)
 		}
-		if !sleep(ctx, pause-time.Since(started)) {
+		if !Sleep(ctx, pause-time.Since(started)) {
 			return
 		}
 	}
@@ -214,24 +214,9 @@
 // Flush waits until every entry was answered or ctx ends.
 func (w *Writer) Flush(ctx context.Context) error {
 	for w.Waiting() > 0 {
-		if !sleep(ctx, 5*time.Millisecond) {
+		if !Sleep(ctx, 5*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
 	return nil
 }
-
-// sleep waits and reports false if ctx ended first.
-func sleep(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
