The term passes on although the first in line cannot claim it

Cause: found by reading. Only the first live instance by name claimed the term of a lost holder; if the log answered to all but that one, nobody placed gangs. Calls begun when placing begins end with the duty's context.

--- a/instance/placer.go
+++ b/instance/placer.go
@@ -4,7 +4,6 @@
 	"context"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,12 +19,11 @@
 )
 
 const (
-	placerTick     = 50 * time.Millisecond
-	placerRing     = 8192
-	recordWait     = 3 * time.Second
-	handOverWait   = 5 * time.Second
-	defaultFinish  = 24 * time.Hour // for jobs whose class is gone from the targets
-	claimTermAgain = time.Second
+	placerTick    = 50 * time.Millisecond
+	placerRing    = 8192
+	recordWait    = 3 * time.Second
+	handOverWait  = 5 * time.Second
+	defaultFinish = 24 * time.Hour // for jobs whose class is gone from the targets
 )
 
 // placer is the duty that places gangs while this instance holds the term, and
@@ -43,7 +41,7 @@
 	workers     map[string]platform.Listed
 	version     int64 // of the targets given to the scheduler
 	logOut      bool
-	claimedAt   time.Time
+	claimant    claimant
 	last        scheduler.Time
 }
 
@@ -90,7 +88,7 @@
 }
 
 func (p *placer) tick(ctx context.Context) {
-	p.followTerm()
+	p.followTerm(ctx)
 	if p.term == 0 {
 		return
 	}
@@ -106,63 +104,23 @@
 
 // followTerm starts or stops placing as the fold says, and claims the next term
 // when the present holder is gone.
-func (p *placer) followTerm() {
+func (p *placer) followTerm(ctx context.Context) {
 	i := p.instance
 	term := i.replica.Term()
 	mine := term.Holder == i.holder
 	switch {
 	case mine && p.term != term.Number && !i.draining.Load():
-		p.begin(term.Number)
+		p.begin(ctx, term.Number)
 	case !mine && p.term != 0:
 		p.term = 0 // whoever holds the term now has taken over the runs
 		i.events.Add("placing_ended", i.settings.Name, "", "")
-	case !mine && p.shouldClaim(term):
-		p.claimedAt = i.now()
+	case !mine && p.claimant.decide(p.view(term), i.now(), i.settings.TermTimeout):
 		i.appendRecord(&structs.Record{Kind: structs.RecordTerm, Term: &structs.Term{Number: term.Number + 1, Holder: i.holder}}, nil)
 	}
 }
 
-func (p *placer) shouldClaim(term structs.Term) bool {
-	i := p.instance
-	_, listed := i.roster.Workers()
-	if !listed || !i.ready() || i.draining.Load() || !i.logAvailable() || i.now().Sub(p.claimedAt) < claimTermAgain {
-		return false
-	}
-	return p.holderGone(term) && p.firstInLine()
-}
-
-func (p *placer) holderGone(term structs.Term) bool {
-	i := p.instance
-	if term.Number == 0 {
-		return true
-	}
-	name, bootText, _ := strings.Cut(term.Holder, "/")
-	boot, err := strconv.ParseInt(bootText, 10, 64)
-	if err != nil || name == i.settings.Name {
-		return true
-	}
-	seen, ok := i.link.Seen(name)
-	if !ok {
-		return i.now().Sub(i.started) > i.settings.TermTimeout
-	}
-	return seen.Boot > boot || seen.Draining || i.now().Sub(seen.At) > i.settings.TermTimeout
-}
-
-// firstInLine lets the first live instance by name claim alone, which saves
-// void records; the fold would settle a race as well.
-func (p *placer) firstInLine() bool {
-	i := p.instance
-	for name, seen := range i.link.SeenAll() {
-		live := i.now().Sub(seen.At) < i.settings.TermTimeout && !seen.Draining
-		if live && name < i.settings.Name {
-			return false
-		}
-	}
-	return true
-}
-
 // begin builds the scheduler and the coordinator from the fold.
-func (p *placer) begin(term int64) {
+func (p *placer) begin(ctx context.Context, term int64) {
 	i := p.instance
 	p.takeChanged()
 	p.workers, _ = i.roster.Workers()
@@ -175,7 +133,6 @@
 	p.coordinator = gangs.New(gangs.Config{Term: term, LeaseTTL: i.settings.LeaseTTL, ReclaimWithin: i.settings.ReclaimWithin, RecordWait: recordWait})
 	live := i.replica.LiveJobs()
 	sort.Slice(live, func(a, b int) bool { return liveBefore(live[a], live[b]) })
-	ctx := context.Background()
 	for _, entry := range live {
 		if entry.Phase == ledger.JobRunning {
 			p.adopt(entry, inForce)
