Known keys and jobs are answered by what became of them, never as not run

Cause: found by reading. While the log was out, or an instance was draining or full, a retry of a key that had run was refused as not run, and so was a job that was durable already; the caller would file the work again under a new key. Ruled out: answering from the fold before it is read; nothing is known then, so a request with a key is refused as unknown until the instance is ready. Change: refusals look at the key or job first. requests.AnswerOf is the one place that turns a key's entry into an answer. Conclusion: one gap stays and is listed: a claim appended so shortly before an outage that an instance has not read it.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -357,3 +357,30 @@
 	eventually(t, "the owner's gang ends", func() bool { return s.job(s.instances[0], owner.ID).Outcome == structs.OutcomeRan })
 	eventually(t, "the borrower runs again", func() bool { return len(s.history()) == 3 }) // the borrower twice, the owner once
 }
+
+// A key that ran is not refused as not run because the log is out, or the
+// caller would file the work again under another key.
+func TestAKeyThatRanIsNeverRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 2, 1, 1)
+	job := service.JobRequest{Workspace: "a", Class: "survey", Key: "filed", Shape: structs.Shape{Members: 1, Accelerators: 1}}
+	filed, _ := s.submit(s.instances[0], job)
+	is.Equal(filed.Outcome, structs.OutcomeAccepted)
+	eventually(t, "the other instance knows the job", func() bool { return s.job(s.instances[1], filed.ID).ID != "" })
+	is.Equal(s.request(s.instances[0], "flow", "ran", "x").outcome, structs.OutcomeRan)
+	eventually(t, "the answer is on record", func() bool {
+		state, err := get[fronthttp.KeyBody](t, s.instances[1], "/v1/keys/a/ran")
+		return err == nil && state.Phase == ledger.KeyRan
+	})
+	s.platformFaults(standin.PlatformFaults{LogDown: true})
+	eventually(t, "new keys are refused", func() bool {
+		return s.request(s.instances[1], "flow", "new", "x").reason == structs.ReasonLogUnavailable
+	})
+	again := s.request(s.instances[1], "flow", "ran", "x")
+	is.Equal(again.outcome, structs.OutcomeRan)
+	is.Equal(again.body, "done:x")
+	is.Equal(s.executions()["ran"], 1)
+	refiled, _ := s.submit(s.instances[1], job)
+	is.Equal(refiled.Outcome, structs.OutcomeAccepted)
+	is.Equal(refiled.ID, filed.ID)
+}
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -27,6 +27,9 @@
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
 	job, reply := i.admitJob(request)
+	if reply != nil && i.knowsJob(request) {
+		return structs.Reply{Outcome: structs.OutcomeAccepted, ID: jobID(structs.KeyID{Workspace: request.Workspace, Key: request.Key})}
+	}
 	if reply != nil {
 		return i.refuseJob(request, *reply)
 	}
@@ -50,6 +53,13 @@
 	return i.refuseJob(request, structs.Reply{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonLogUnavailable, ID: job.ID, RetryAfter: 2 * time.Second})
 }
 
+// knowsJob reports whether the very same job is durable already. It is then not
+// refused, though this instance may be unable to take on a new one.
+func (i *Instance) knowsJob(request service.JobRequest) bool {
+	existing := i.replica.Job(jobID(structs.KeyID{Workspace: request.Workspace, Key: request.Key}))
+	return existing != nil && existing.Job.Digest == digestOf(request)
+}
+
 func closed(channel <-chan struct{}) func() bool {
 	return func() bool {
 		select {
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -27,8 +27,9 @@
 	arrived := i.now()
 	spec, refusal := i.admitRequest(request, arrived)
 	if refusal != nil {
-		i.recordFinish(request, *refusal)
-		return *refusal
+		truthful := i.truthful(request, *refusal)
+		i.recordFinish(request, truthful)
+		return truthful
 	}
 	execution := &execution{
 		instance: i,
@@ -43,6 +44,26 @@
 	return finish
 }
 
+// truthful replaces a refusal of a request whose key is already known by what
+// became of that key: work that ran is never called not run because this
+// instance cannot take it on now. Before the folds are read nothing is known of
+// any key, so that a request with one is refused as unknown.
+func (i *Instance) truthful(request service.Request, refusal requests.Finish) requests.Finish {
+	if request.Key == "" {
+		return refusal
+	}
+	if refusal.Reason == structs.ReasonNotReady {
+		refusal.Outcome = structs.OutcomeUnknown
+		return refusal
+	}
+	entry := i.replica.Key(structs.KeyID{Workspace: request.Workspace, Key: request.Key})
+	if entry == nil || entry.Phase == ledger.KeyReleased {
+		return refusal
+	}
+	lost := entry.Phase == ledger.KeyOpen && i.holderLost(entry.Claim)
+	return requests.AnswerOf(entry, request.Class, xxhash.Sum64(request.Body), lost)
+}
+
 // admitRequest checks what can be judged before the request's own machine runs.
 func (i *Instance) admitRequest(request service.Request, arrived time.Time) (*requests.Spec, *requests.Finish) {
 	refuse := func(reason structs.Reason, retryAfter time.Duration) (*requests.Spec, *requests.Finish) {
--- a/requests/machine.go
+++ b/requests/machine.go
@@ -256,24 +256,28 @@
 	return retryLater
 }
 
-// answerFromEntry answers from another request's claim on the same key.
 func (m *Machine) answerFromEntry(e ClaimRead) []Action {
-	entry := e.Entry
-	if entry.Claim.Digest != m.spec.Digest || entry.Claim.Class != m.spec.Class {
-		return m.finish(Finish{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonKeyConflict})
+	return m.finish(AnswerOf(e.Entry, m.spec.Class, m.spec.Digest, e.HolderLost))
+}
+
+// AnswerOf is the truthful answer to a request whose key another request has
+// claimed. holderLost says that the holder of an open claim is gone.
+func AnswerOf(entry *ledger.KeyEntry, class string, digest uint64, holderLost bool) Finish {
+	if entry.Claim.Digest != digest || entry.Claim.Class != class {
+		return Finish{Outcome: structs.OutcomeNotRun, Reason: structs.ReasonKeyConflict}
 	}
 	switch entry.Phase {
 	case ledger.KeyRan:
-		return m.finish(Finish{Outcome: structs.OutcomeRan, Status: entry.Status, Answer: entry.Answer, Replayed: true})
+		return Finish{Outcome: structs.OutcomeRan, Status: entry.Status, Answer: entry.Answer, Replayed: true}
 	case ledger.KeyUnknown:
-		return m.finish(Finish{Outcome: structs.OutcomeUnknown, Reason: entry.Reason, Replayed: true})
+		return Finish{Outcome: structs.OutcomeUnknown, Reason: entry.Reason, Replayed: true}
 	case ledger.KeyReleased:
-		return m.finish(Finish{Outcome: structs.OutcomeNotRun, Reason: entry.Reason, RetryAfter: retryLater})
+		return Finish{Outcome: structs.OutcomeNotRun, Reason: entry.Reason, RetryAfter: retryLater}
 	}
-	if e.HolderLost {
-		return m.finish(Finish{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonHolderLost})
+	if holderLost {
+		return Finish{Outcome: structs.OutcomeUnknown, Reason: structs.ReasonHolderLost}
 	}
-	return m.finish(Finish{Outcome: structs.OutcomeInProgress, RetryAfter: retryLater})
+	return Finish{Outcome: structs.OutcomeInProgress, RetryAfter: retryLater}
 }
 
 func (m *Machine) claimTooOld(now time.Time) bool {
