A request that need not wait for a slot costs no goroutine for asking

Cause: each request asked the balancer in a goroutine of its own with a context of its own, though a slot is free nearly always. The profile under load showed about a tenth of our own time in starting such steps. Change: asking is done in place; only waiting has a goroutine.

--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -69,25 +69,34 @@
 	return taken
 }
 
-// acquire waits for a slot or a refusal. If ctx ends first, ok is false and no
-// slot is held.
-func (d *dispatcher) acquire(ctx context.Context, class string, deadline time.Time, exclude []string) (granted balancer.Grant, ok bool) {
+// ticket is a request's place in the queue for slots.
+type ticket struct {
+	id     balancer.Waiter
+	waiter chan balancer.Grant
+}
+
+// ask asks for a slot. It returns a grant or a refusal, or a ticket to wait with.
+func (d *dispatcher) ask(class string, deadline time.Time, exclude []string) (granted balancer.Grant, queued *ticket) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.next++
-	id := d.next
-	granted, decided := d.balancer.Acquire(id, class, deadline, exclude, time.Now())
+	granted, decided := d.balancer.Acquire(d.next, class, deadline, exclude, time.Now())
 	if decided {
-		d.mu.Unlock()
-		return granted, true
+		return granted, nil
 	}
-	waiter := make(chan balancer.Grant, 1)
-	d.waiters[id] = waiter
-	d.mu.Unlock()
+	queued = &ticket{id: d.next, waiter: make(chan balancer.Grant, 1)}
+	d.waiters[queued.id] = queued.waiter
+	return granted, queued
+}
+
+// await waits for a slot or a refusal. If ctx ends first, ok is false and no
+// slot is held.
+func (d *dispatcher) await(ctx context.Context, queued *ticket) (granted balancer.Grant, ok bool) {
 	select {
-	case granted = <-waiter:
+	case granted = <-queued.waiter:
 		return granted, true
 	case <-ctx.Done():
-		d.giveUp(id, waiter)
+		d.giveUp(queued.id, queued.waiter)
 		return balancer.Grant{}, false
 	}
 }
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/teaselcleat/teaselcleat/balancer"
 	"github.com/teaselcleat/teaselcleat/ledger"
 	"github.com/teaselcleat/teaselcleat/requests"
 	"github.com/teaselcleat/teaselcleat/service"
@@ -215,7 +216,7 @@
 		case requests.AppendClaim:
 			e.start(e.claim)
 		case requests.Pick:
-			e.start(func(ctx context.Context) { e.pick(ctx, a.Exclude) })
+			e.pick(a.Exclude)
 		case requests.Send:
 			e.start(func(ctx context.Context) { e.send(ctx, a) })
 		case requests.Abandon:
@@ -320,15 +321,27 @@
 		ClaimID: claim.ID, Key: claim.Key, Outcome: structs.OutcomeUnknown, Reason: structs.ReasonHolderLost}}, nil)
 }
 
-func (e *execution) pick(ctx context.Context, exclude []string) {
-	granted, ok := e.instance.dispatch.acquire(ctx, e.spec.Class, e.spec.Deadline, exclude)
-	switch {
-	case !ok:
-	case granted.Runner == "":
+// pick asks for a slot; only a request that must wait for one costs a goroutine.
+func (e *execution) pick(exclude []string) {
+	dispatch := e.instance.dispatch
+	granted, queued := dispatch.ask(e.spec.Class, e.spec.Deadline, exclude)
+	if queued == nil {
+		e.picked(granted)
+		return
+	}
+	e.start(func(ctx context.Context) {
+		if granted, ok := dispatch.await(ctx, queued); ok {
+			e.picked(granted)
+		}
+	})
+}
+
+func (e *execution) picked(granted balancer.Grant) {
+	if granted.Runner == "" {
 		e.post(requests.RunnerRefused{Reason: granted.Refusal.Reason, RetryAfter: granted.Refusal.RetryAfter})
-	default:
-		e.post(requests.RunnerPicked{Runner: granted.Runner})
+		return
 	}
+	e.post(requests.RunnerPicked{Runner: granted.Runner})
 }
 
 func (e *execution) send(ctx context.Context, action requests.Send) {
