Guarantees stay off workers on probation when they move

An idle guarantee whose workers were lent out was moved onto a worker that was only being tried again, since the search for free workers admits such a worker to small jobs; work with one try then took the room the guarantee had left. Ruled out: repair and repacking, which ask for trusted workers already. Change: the move asks for trusted workers too.

--- a/scheduler/adopt_test.go
+++ b/scheduler/adopt_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/teaselcleat/teaselcleat/scheduler"
 	"github.com/teaselcleat/teaselcleat/structs"
+	"github.com/teaselcleat/teaselcleat/targets"
 )
 
 // workersOf makes so many workers of eight accelerators, racks filled in order.
@@ -48,3 +49,26 @@
 	}
 	is.Equal(len(placed(s.Step(scheduler.RunEnded{Run: "j0#1.1", Result: scheduler.RunNotStarted}, 100))), 1)
 }
+
+// A guarantee must not move onto a worker that is only being tried again.
+func TestGuaranteesStayOffWorkersOnProbation(t *testing.T) {
+	is := is.New(t)
+	specs := workersOf(2, 1)
+	guaranteed := &targets.Targets{Workspaces: map[string]targets.Workspace{
+		"b": {Name: "b", Guarantee: []structs.Shape{{Members: 1, Accelerators: 8, Adjacent: true}}}}}
+	s := scheduler.New(scheduler.Config{Workers: specs, Targets: guaranteed})
+	for _, id := range []string{"f1", "f2", "f3"} { // three jobs fail on w001
+		run := placed(s.Step(scheduler.Submitted{Job: jobOf(id, "c", 1, 1)}, 0))[0].Run
+		for _, again := range placed(s.Step(scheduler.RunEnded{Run: run, Result: scheduler.RunFailed, Worker: "w001"}, 0)) {
+			s.Step(scheduler.Cancelled{Job: id}, 0)
+			s.Step(scheduler.RunEnded{Run: again.Run, Result: scheduler.RunAborted}, 0)
+		}
+	}
+	s.Step(scheduler.Tick{}, 3*scheduler.Minute) // w001 may be tried again
+	s.Step(scheduler.Submitted{Job: jobOf("borrower", "c", 1, 4)}, 3*scheduler.Minute)
+	owner := jobOf("owner", "b", 1, 8)
+	owner.Declared = scheduler.Minute
+	for _, place := range placed(s.Step(scheduler.Submitted{Job: owner}, 3*scheduler.Minute)) {
+		is.True(!place.Inside || place.Members[0].Worker == "w000")
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -199,7 +199,7 @@
 // another idle slot of the same shape, which takes this one's in exchange.
 func (s *Scheduler) relocate(moving *slot, j *job, now Time) bool {
 	free := func(n *node) bool {
-		return n.free-s.keptFor(n, j, now) >= moving.shape.Accelerators && s.admits(n, j, now)
+		return n.trusted() && n.free-s.keptFor(n, j, now) >= moving.shape.Accelerators && s.admits(n, j, now)
 	}
 	if nodes := s.freeUnpromised(moving, free); nodes != nil {
 		moving.unassign()
