--- a/standin/worker.go
+++ b/standin/worker.go
@@ -165,6 +165,19 @@
 	return nil
 }
 
+// leased checks a caller's term and returns the lease that it orders about. The
+// caller holds the lock.
+func (w *Worker) leased(order worker.Order) (*lease, error) {
+	if err := w.admit(order.Term); err != nil {
+		return nil, err
+	}
+	held := w.leases[order.Run]
+	if held == nil {
+		return nil, worker.ErrNoLease
+	}
+	return held, nil
+}
+
 // Reserve takes or renews a lease.
 func (w *Worker) Reserve(reserve worker.Reserve) error {
 	w.mu.Lock()
@@ -194,13 +207,10 @@
 func (w *Worker) Start(order worker.Order) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.admit(order.Term); err != nil {
+	held, err := w.leased(order)
+	if err != nil {
 		return err
 	}
-	held := w.leases[order.Run]
-	if held == nil {
-		return worker.ErrNoLease
-	}
 	if held.task.Phase != worker.TaskReserved {
 		return nil
 	}
@@ -242,13 +252,10 @@
 func (w *Worker) Stop(order worker.Order) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.admit(order.Term); err != nil {
+	held, err := w.leased(order)
+	if err != nil {
 		return err
 	}
-	held := w.leases[order.Run]
-	if held == nil {
-		return worker.ErrNoLease
-	}
 	if held.task.Phase != worker.TaskRunning {
 		return nil
 	}
