Interfaces of the log and the machine list move next to their users

Cause: the folder platform/ is to hold nothing but the adapter to the users' platform, while it held the interfaces of the log and of the machine list. Change: the log's interface stands in logstream, the list's in membership; no behaviour changes. Ruled out: keeping both in platform/, as the adapter would then mix product types with the platform's names.

--- a/adapters/platformhttp/platformhttp.go
+++ b/adapters/platformhttp/platformhttp.go
@@ -16,7 +16,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/teaselcleat/teaselcleat/kernel"
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/logstream"
+	"github.com/teaselcleat/teaselcleat/membership"
 )
 
 const (
@@ -43,10 +44,10 @@
 }
 
 func init() {
-	kernel.Register(kernel.PointLog, "http", func(env *kernel.Env) (platform.Log, error) {
+	kernel.Register(kernel.PointLog, "http", func(env *kernel.Env) (logstream.Log, error) {
 		return New(env.Settings.PlatformAddress), nil
 	})
-	kernel.Register(kernel.PointInstanceList, "http", func(env *kernel.Env) (platform.InstanceList, error) {
+	kernel.Register(kernel.PointInstanceList, "http", func(env *kernel.Env) (membership.InstanceList, error) {
 		return New(env.Settings.PlatformAddress), nil
 	})
 }
@@ -58,7 +59,7 @@
 
 	mu      sync.Mutex
 	listTag string // entity tag of the last list
-	list    []platform.Listed
+	list    []membership.Listed
 }
 
 // New returns a client of the platform at a base URL.
@@ -68,7 +69,7 @@
 	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
 
-// Append implements platform.Log.
+// Append implements logstream.Log.
 func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
 	var reply AppendReply
 	status, err := c.call(ctx, http.MethodPost, "/streams/"+stream, AppendRequest{Records: records}, &reply)
@@ -76,30 +77,30 @@
 		return 0, err
 	}
 	if status != http.StatusOK {
-		return 0, platform.ErrUnavailable
+		return 0, logstream.ErrUnavailable
 	}
 	return reply.First, nil
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error) {
+// Read implements logstream.Log.
+func (c *Client) Read(ctx context.Context, stream string, from int64, wait time.Duration) (logstream.Batch, error) {
 	var reply ReadReply
 	path := fmt.Sprintf("/streams/%s?from=%d&wait_ms=%d", stream, from, wait.Milliseconds())
 	status, err := c.call(ctx, http.MethodGet, path, nil, &reply)
 	if err != nil {
-		return platform.Batch{}, err
+		return logstream.Batch{}, err
 	}
 	if status == http.StatusGone {
-		return platform.Batch{}, &platform.RetentionError{First: reply.First}
+		return logstream.Batch{}, &logstream.RetentionError{First: reply.First}
 	}
 	if status != http.StatusOK {
-		return platform.Batch{}, platform.ErrUnavailable
+		return logstream.Batch{}, logstream.ErrUnavailable
 	}
-	return platform.Batch{First: reply.First, Records: reply.Records, End: reply.End}, nil
+	return logstream.Batch{First: reply.First, Records: reply.Records, End: reply.End}, nil
 }
 
-// List implements platform.InstanceList. An unchanged list is not sent again.
-func (c *Client) List(ctx context.Context) ([]platform.Listed, error) {
+// List implements membership.InstanceList. An unchanged list is not sent again.
+func (c *Client) List(ctx context.Context) ([]membership.Listed, error) {
 	c.mu.Lock()
 	tag := c.listTag
 	c.mu.Unlock()
@@ -112,39 +113,39 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, platform.ErrUnavailable
+		return nil, logstream.ErrUnavailable
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, platform.ErrUnavailable
+		return nil, logstream.ErrUnavailable
 	}
 	return c.takeList(response, data)
 }
 
-func (c *Client) takeList(response *http.Response, data []byte) ([]platform.Listed, error) {
+func (c *Client) takeList(response *http.Response, data []byte) ([]membership.Listed, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if response.StatusCode == http.StatusNotModified {
 		return c.list, nil
 	}
-	var list []platform.Listed
+	var list []membership.Listed
 	if response.StatusCode != http.StatusOK || json.Unmarshal(data, &list) != nil {
-		return nil, platform.ErrUnavailable
+		return nil, logstream.ErrUnavailable
 	}
 	c.list = list
 	c.listTag = response.Header.Get("ETag")
 	return list, nil
 }
 
-// Announce implements platform.InstanceList.
-func (c *Client) Announce(ctx context.Context, self platform.Listed) error {
+// Announce implements membership.InstanceList.
+func (c *Client) Announce(ctx context.Context, self membership.Listed) error {
 	status, err := c.call(ctx, http.MethodPost, "/instances", self, nil)
 	if err != nil {
 		return err
 	}
 	if status != http.StatusOK {
-		return platform.ErrUnavailable
+		return logstream.ErrUnavailable
 	}
 	return nil
 }
@@ -165,19 +166,19 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return 0, platform.ErrUnavailable
+		return 0, logstream.ErrUnavailable
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return 0, platform.ErrUnavailable
+		return 0, logstream.ErrUnavailable
 	}
 	decodes := response.StatusCode == http.StatusOK || response.StatusCode == http.StatusGone
 	if answer == nil || !decodes {
 		return response.StatusCode, nil
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
-		return 0, platform.ErrUnavailable
+		return 0, logstream.ErrUnavailable
 	}
 	return response.StatusCode, nil
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,7 +9,7 @@
 	"sort"
 	"time"
 
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/membership"
 	"github.com/teaselcleat/teaselcleat/structs"
 )
 
@@ -47,7 +47,7 @@
 )
 
 type runner struct {
-	listed     platform.Listed
+	listed     membership.Listed
 	limit      float64
 	inFlight   int
 	busy       int // slots in use by anyone, as the runner last said
@@ -102,10 +102,10 @@
 
 // Update takes the platform's list. A runner known to be leaving stays so until
 // it is listed with a later boot, however old or wavering the list is.
-func (b *Balancer) Update(list []platform.Listed) {
+func (b *Balancer) Update(list []membership.Listed) {
 	listed := map[string]bool{}
 	for _, entry := range list {
-		if entry.Role != platform.RoleRunner {
+		if entry.Role != membership.RoleRunner {
 			continue
 		}
 		listed[entry.ID] = true
@@ -125,7 +125,7 @@
 	sort.Strings(b.order)
 }
 
-func (b *Balancer) updateRunner(entry platform.Listed) {
+func (b *Balancer) updateRunner(entry membership.Listed) {
 	if entry.Leaving {
 		b.MarkLeaving(entry.ID, entry.Boot)
 	}
@@ -168,10 +168,10 @@
 }
 
 // Runner returns a runner's list entry.
-func (b *Balancer) Runner(id string) (platform.Listed, bool) {
+func (b *Balancer) Runner(id string) (membership.Listed, bool) {
 	known := b.runners[id]
 	if known == nil {
-		return platform.Listed{}, false
+		return membership.Listed{}, false
 	}
 	return known.listed, true
 }
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/teaselcleat/teaselcleat/balancer"
 	"github.com/teaselcleat/teaselcleat/internal/prooftest"
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/membership"
 	"github.com/teaselcleat/teaselcleat/structs"
 )
 
@@ -18,8 +18,8 @@
 
 var began = time.Unix(1_800_000_000, 0)
 
-func listed(id string, boot int64, leaving bool) platform.Listed {
-	return platform.Listed{ID: id, Role: platform.RoleRunner, Boot: boot, Leaving: leaving, Slots: 2}
+func listed(id string, boot int64, leaving bool) membership.Listed {
+	return membership.Listed{ID: id, Role: membership.RoleRunner, Boot: boot, Leaving: leaving, Slots: 2}
 }
 
 // A runner's boot that was once known to be leaving gets nothing new, whatever
@@ -48,7 +48,7 @@
 		next := balancer.Waiter(0)
 		t.Repeat(map[string]func(*rapid.T){
 			"list": func(t *rapid.T) {
-				var list []platform.Listed
+				var list []membership.Listed
 				for _, id := range []string{"r0", "r1", "r2"} {
 					if rapid.IntRange(0, 4).Draw(t, "missing") == 0 {
 						continue
@@ -106,7 +106,7 @@
 func TestHopelessRequestsAreRefusedAtOnceAndToldWhenToComeBack(t *testing.T) {
 	is := is.New(t)
 	b := balancer.New(1)
-	b.Update([]platform.Listed{listed("r0", 1, false)})
+	b.Update([]membership.Listed{listed("r0", 1, false)})
 	for n := range 2 {
 		granted, decided := b.Acquire(balancer.Waiter(n), "slow", began.Add(time.Hour), nil, began)
 		is.True(decided)
@@ -124,7 +124,7 @@
 func TestTheMostUrgentWaiterIsServedFirst(t *testing.T) {
 	is := is.New(t)
 	b := balancer.New(1)
-	b.Update([]platform.Listed{{ID: "r0", Role: platform.RoleRunner, Boot: 1, Slots: 1}})
+	b.Update([]membership.Listed{{ID: "r0", Role: membership.RoleRunner, Boot: 1, Slots: 1}})
 	_, decided := b.Acquire(0, "c", began.Add(time.Hour), nil, began)
 	is.True(decided)
 	for id, within := range map[balancer.Waiter]time.Duration{1: time.Hour, 2: time.Minute, 3: time.Second} {
--- a/command/dev.go
+++ b/command/dev.go
@@ -17,7 +17,7 @@
 
 	"github.com/teaselcleat/teaselcleat/instance"
 	"github.com/teaselcleat/teaselcleat/ledger"
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/membership"
 	"github.com/teaselcleat/teaselcleat/service"
 	"github.com/teaselcleat/teaselcleat/settings"
 	"github.com/teaselcleat/teaselcleat/standin"
@@ -112,7 +112,7 @@
 			return err
 		}
 		s.runners = append(s.runners, runner)
-		s.platform.Fix(platform.Listed{ID: name, Role: platform.RoleRunner, Boot: 1, Address: address, Slots: standin.RunnerSlots})
+		s.platform.Fix(membership.Listed{ID: name, Role: membership.RoleRunner, Boot: 1, Address: address, Slots: standin.RunnerSlots})
 	}
 	return nil
 }
@@ -124,7 +124,7 @@
 			return err
 		}
 		rack := "rack-" + strconv.Itoa(n/devWorkersPerRack)
-		s.platform.Fix(platform.Listed{ID: "worker-" + strconv.Itoa(n), Role: platform.RoleWorker, Boot: 1, Address: address,
+		s.platform.Fix(membership.Listed{ID: "worker-" + strconv.Itoa(n), Role: membership.RoleWorker, Boot: 1, Address: address,
 			Rack: rack, AvailabilityZone: "lowell-hall", Accelerators: devAccelerators})
 	}
 	return nil
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/adapters/fronthttp"
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/membership"
 	"github.com/teaselcleat/teaselcleat/service"
 	"github.com/teaselcleat/teaselcleat/standin"
 	"github.com/teaselcleat/teaselcleat/structs"
@@ -137,7 +137,7 @@
 	for n := range workers {
 		p := start(t, fmt.Sprintf("worker-%d", n), "standin", "-kind", "worker")
 		s.workers = append(s.workers, p)
-		s.post(s.platform, "/fixed", platform.Listed{ID: p.name, Role: platform.RoleWorker, Boot: 1, Address: p.http,
+		s.post(s.platform, "/fixed", membership.Listed{ID: p.name, Role: membership.RoleWorker, Boot: 1, Address: p.http,
 			Rack: fmt.Sprintf("rack-%d", n/workersInRack), AvailabilityZone: "z1", Accelerators: 8})
 	}
 	for n := range instances {
@@ -156,7 +156,7 @@
 }
 
 func (s *system) listRunner(p *process, leaving bool) {
-	s.post(s.platform, "/fixed", platform.Listed{ID: p.name, Role: platform.RoleRunner, Boot: 1, Address: p.http, Slots: 8, Leaving: leaving})
+	s.post(s.platform, "/fixed", membership.Listed{ID: p.name, Role: membership.RoleRunner, Boot: 1, Address: p.http, Slots: 8, Leaving: leaving})
 }
 
 func (s *system) addInstance(name string) *process {
--- a/instance/bridge.go
+++ b/instance/bridge.go
@@ -8,7 +8,6 @@
 	"github.com/teaselcleat/teaselcleat/ledger"
 	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/peers/peerpb"
-	"github.com/teaselcleat/teaselcleat/platform"
 )
 
 const (
@@ -42,8 +41,8 @@
 	for logstream.Sleep(ctx, heartbeatEvery) {
 		b.heartbeat()
 		b.tellLeaving()
-		b.copyPending(b.instance.ledgerWriter, platform.StreamLedger)
-		b.copyPending(b.instance.refusalWriter, platform.StreamRefusals)
+		b.copyPending(b.instance.ledgerWriter, logstream.StreamLedger)
+		b.copyPending(b.instance.refusalWriter, logstream.StreamRefusals)
 		b.adoptLost()
 	}
 }
@@ -98,7 +97,7 @@
 			continue
 		}
 		writer := i.ledgerWriter
-		if from.stream == platform.StreamRefusals {
+		if from.stream == logstream.StreamRefusals {
 			writer = i.refusalWriter
 		}
 		for _, data := range records {
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -7,7 +7,7 @@
 
 	"github.com/teaselcleat/teaselcleat/balancer"
 	"github.com/teaselcleat/teaselcleat/logstream"
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/membership"
 	"github.com/teaselcleat/teaselcleat/upstream"
 )
 
@@ -20,7 +20,7 @@
 	budget   *balancer.Budget
 	waiters  map[balancer.Waiter]chan balancer.Grant
 	next     balancer.Waiter
-	leaving  []platform.Listed // runners newly known to be leaving, to be told to peers
+	leaving  []membership.Listed // runners newly known to be leaving, to be told to peers
 }
 
 func newDispatcher(seed uint64) *dispatcher {
@@ -47,7 +47,7 @@
 	}
 }
 
-func (d *dispatcher) update(list []platform.Listed, now time.Time) {
+func (d *dispatcher) update(list []membership.Listed, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.balancer.Update(list)
@@ -61,7 +61,7 @@
 }
 
 // takeLeaving returns the runners newly seen to be leaving.
-func (d *dispatcher) takeLeaving() []platform.Listed {
+func (d *dispatcher) takeLeaving() []membership.Listed {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	taken := d.leaving
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,8 +19,8 @@
 	"github.com/teaselcleat/teaselcleat/hlc"
 	"github.com/teaselcleat/teaselcleat/kernel"
 	"github.com/teaselcleat/teaselcleat/logstream"
+	"github.com/teaselcleat/teaselcleat/membership"
 	"github.com/teaselcleat/teaselcleat/peers"
-	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/replica"
 	"github.com/teaselcleat/teaselcleat/settings"
 	"github.com/teaselcleat/teaselcleat/timeline"
@@ -42,8 +42,8 @@
 	now      func() time.Time
 	started  time.Time
 
-	platformLog platform.Log
-	list        platform.InstanceList
+	platformLog logstream.Log
+	list        membership.InstanceList
 	runner      upstream.Runner
 	workers     worker.Client
 
@@ -100,10 +100,10 @@
 func (i *Instance) openAdapters() error {
 	env := &kernel.Env{Settings: i.settings, Log: i.log, Timeline: i.events, Metrics: i.registry, Now: i.now}
 	var err error
-	if i.platformLog, err = kernel.Open[platform.Log](env, kernel.PointLog, i.settings.Adapter); err != nil {
+	if i.platformLog, err = kernel.Open[logstream.Log](env, kernel.PointLog, i.settings.Adapter); err != nil {
 		return err
 	}
-	if i.list, err = kernel.Open[platform.InstanceList](env, kernel.PointInstanceList, i.settings.Adapter); err != nil {
+	if i.list, err = kernel.Open[membership.InstanceList](env, kernel.PointInstanceList, i.settings.Adapter); err != nil {
 		return err
 	}
 	if i.runner, err = kernel.Open[upstream.Runner](env, kernel.PointRunner, i.settings.Adapter); err != nil {
@@ -127,10 +127,10 @@
 
 func (i *Instance) build() {
 	i.replica = replica.New(i.holder)
-	i.ledgerWriter = logstream.NewWriter(i.platformLog, platform.StreamLedger, logstream.PromptInterval, i.settings.PendingRecords, i.registry)
-	i.refusalWriter = logstream.NewWriter(i.platformLog, platform.StreamRefusals, logstream.PatientInterval, i.settings.PendingRecords, i.registry)
-	i.ledgerTail = logstream.NewTailer(i.platformLog, platform.StreamLedger, i.replica.LedgerSink(), i.now)
-	i.targetsTail = logstream.NewTailer(i.platformLog, platform.StreamTargets, i.replica.TargetsSink(), i.now)
+	i.ledgerWriter = logstream.NewWriter(i.platformLog, logstream.StreamLedger, logstream.PromptInterval, i.settings.PendingRecords, i.registry)
+	i.refusalWriter = logstream.NewWriter(i.platformLog, logstream.StreamRefusals, logstream.PatientInterval, i.settings.PendingRecords, i.registry)
+	i.ledgerTail = logstream.NewTailer(i.platformLog, logstream.StreamLedger, i.replica.LedgerSink(), i.now)
+	i.targetsTail = logstream.NewTailer(i.platformLog, logstream.StreamTargets, i.replica.TargetsSink(), i.now)
 	i.refusals = newRefusalBook(i.refusalWriter, i.holder)
 	i.dispatch = newDispatcher(rand.Uint64())
 	i.bridge = newBridge(i)
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -11,7 +11,6 @@
 
 	"github.com/teaselcleat/teaselcleat/ledger"
 	"github.com/teaselcleat/teaselcleat/logstream"
-	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/scheduler"
 	"github.com/teaselcleat/teaselcleat/service"
 	"github.com/teaselcleat/teaselcleat/structs"
@@ -226,7 +225,7 @@
 func (i *Instance) publish(ctx context.Context, data []byte, ruled <-chan targets.Decision, version int64) (structs.Reply, int64) {
 	ctx, cancel := context.WithTimeout(ctx, i.settings.ClaimWait)
 	defer cancel()
-	_, appendErr := i.platformLog.Append(ctx, platform.StreamTargets, [][]byte{data})
+	_, appendErr := i.platformLog.Append(ctx, logstream.StreamTargets, [][]byte{data})
 	select {
 	case decision := <-ruled:
 		if decision.Accepted {
@@ -252,7 +251,7 @@
 func (i *Instance) Refusals(ctx context.Context, workspace string) ([]structs.Refusal, error) {
 	seen := map[string]bool{}
 	list := []structs.Refusal{}
-	err := logstream.ReadAll(ctx, i.platformLog, platform.StreamRefusals, func(data []byte) {
+	err := logstream.ReadAll(ctx, i.platformLog, logstream.StreamRefusals, func(data []byte) {
 		var refusal structs.Refusal
 		if json.Unmarshal(data, &refusal) != nil || refusal.ID == "" || seen[refusal.ID] {
 			return // a probe, or a copy that two instances wrote
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -7,7 +7,6 @@
 
 	"github.com/teaselcleat/teaselcleat/ledger"
 	"github.com/teaselcleat/teaselcleat/logstream"
-	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/structs"
 )
 
@@ -71,7 +70,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := i.platformLog.Append(ctx, platform.StreamSnapshots, [][]byte{encoded}); err != nil {
+		if _, err := i.platformLog.Append(ctx, logstream.StreamSnapshots, [][]byte{encoded}); err != nil {
 			return err
 		}
 	}
--- a/instance/placer.go
+++ b/instance/placer.go
@@ -10,7 +10,7 @@
 	"github.com/teaselcleat/teaselcleat/gangs"
 	"github.com/teaselcleat/teaselcleat/ledger"
 	"github.com/teaselcleat/teaselcleat/logstream"
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/membership"
 	"github.com/teaselcleat/teaselcleat/ring"
 	"github.com/teaselcleat/teaselcleat/scheduler"
 	"github.com/teaselcleat/teaselcleat/structs"
@@ -38,7 +38,7 @@
 	scheduler   *scheduler.Scheduler
 	coordinator *gangs.Coordinator
 	known       map[string]bool // jobs given to the scheduler
-	workers     map[string]platform.Listed
+	workers     map[string]membership.Listed
 	version     int64 // of the targets given to the scheduler
 	logOut      bool
 	claimant    claimant
@@ -179,7 +179,7 @@
 	}
 }
 
-func specsOf(workers map[string]platform.Listed) []scheduler.WorkerSpec {
+func specsOf(workers map[string]membership.Listed) []scheduler.WorkerSpec {
 	specs := make([]scheduler.WorkerSpec, 0, len(workers))
 	for _, entry := range workers {
 		specs = append(specs, specOfWorker(entry))
@@ -188,7 +188,7 @@
 	return specs
 }
 
-func specOfWorker(entry platform.Listed) scheduler.WorkerSpec {
+func specOfWorker(entry membership.Listed) scheduler.WorkerSpec {
 	return scheduler.WorkerSpec{ID: entry.ID, Rack: entry.Rack, AvailabilityZone: entry.AvailabilityZone, Accelerators: entry.Accelerators}
 }
 
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/logstream"
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/membership"
 )
 
 const (
@@ -20,12 +20,12 @@
 type roster struct {
 	instance *Instance
 	mu       sync.Mutex
-	workers  map[string]platform.Listed
+	workers  map[string]membership.Listed
 	known    bool
 }
 
 func newRoster(i *Instance) *roster {
-	return &roster{instance: i, workers: map[string]platform.Listed{}}
+	return &roster{instance: i, workers: map[string]membership.Listed{}}
 }
 
 func (r *roster) run(ctx context.Context) {
@@ -42,8 +42,8 @@
 	i := r.instance
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	self := platform.Listed{
-		ID: i.settings.Name, Role: platform.RoleInstance, Boot: i.boot, Leaving: i.draining.Load(),
+	self := membership.Listed{
+		ID: i.settings.Name, Role: membership.RoleInstance, Boot: i.boot, Leaving: i.draining.Load(),
 		Address: i.HTTPAddress(), PeerAddress: i.PeerAddress(),
 		Region: i.settings.Region, AvailabilityZone: i.settings.AvailabilityZone,
 	}
@@ -67,11 +67,11 @@
 }
 
 // setWorkers keeps the workers of this instance's region that are not leaving.
-func (r *roster) setWorkers(list []platform.Listed) {
-	workers := map[string]platform.Listed{}
+func (r *roster) setWorkers(list []membership.Listed) {
+	workers := map[string]membership.Listed{}
 	for _, entry := range list {
 		ours := entry.Region == "" || entry.Region == r.instance.settings.Region
-		if entry.Role == platform.RoleWorker && !entry.Leaving && ours {
+		if entry.Role == membership.RoleWorker && !entry.Leaving && ours {
 			workers[entry.ID] = entry
 		}
 	}
@@ -82,7 +82,7 @@
 }
 
 // Workers returns the listed workers; ok is false before the first list.
-func (r *roster) Workers() (workers map[string]platform.Listed, ok bool) {
+func (r *roster) Workers() (workers map[string]membership.Listed, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.workers, r.known
--- a/instance/streams.go
+++ b/instance/streams.go
@@ -11,7 +11,6 @@
 	"github.com/teaselcleat/teaselcleat/ledger"
 	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/peers/peerpb"
-	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/structs"
 )
 
@@ -72,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
 	assembler := ledger.NewAssembler()
-	err := logstream.ReadAll(ctx, i.platformLog, platform.StreamSnapshots, func(data []byte) {
+	err := logstream.ReadAll(ctx, i.platformLog, logstream.StreamSnapshots, func(data []byte) {
 		var part ledger.Part
 		if json.Unmarshal(data, &part) == nil {
 			assembler.Add(part)
--- a/platform/platform.go
+++ b/logstream/log.go
@@ -1,7 +1,4 @@
-// Package platform owns the interfaces to what the users' platform gives: the
-// append-only log and the list of live and leaving instances. Adapters
-// implement them; nothing here does input or output.
-package platform
+package logstream
 
 import (
 	"context"
@@ -53,36 +50,3 @@
 	// one. A *RetentionError says the offset is older than what is kept.
 	Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error)
 }
-
-// Role says what an entry of the instance list is.
-type Role string
-
-// Roles of listed machines.
-const (
-	RoleInstance Role = "instance"
-	RoleRunner   Role = "runner"
-	RoleWorker   Role = "worker"
-)
-
-// Listed is one machine of the instance list, which may lag behind the truth.
-type Listed struct {
-	ID               string `json:"id"`
-	Role             Role   `json:"role"`
-	Boot             int64  `json:"boot"` // grows with each start of the same ID
-	Leaving          bool   `json:"leaving"`
-	Address          string `json:"address"`                // IP:PORT of HTTP
-	PeerAddress      string `json:"peer_address,omitempty"` // IP:PORT between instances
-	Region           string `json:"region,omitempty"`
-	AvailabilityZone string `json:"availability_zone,omitempty"`
-	Rack             string `json:"rack,omitempty"`
-	Accelerators     int    `json:"accelerators,omitempty"`
-	Slots            int    `json:"slots,omitempty"`
-}
-
-// InstanceList reads the platform's list.
-type InstanceList interface {
-	// List returns the machines as the platform now knows them.
-	List(ctx context.Context) ([]Listed, error)
-	// Announce adds or refreshes this process in the list.
-	Announce(ctx context.Context, self Listed) error
-}
--- a/logstream/read.go
+++ b/logstream/read.go
@@ -4,17 +4,15 @@
 	"context"
 	"errors"
 	"time"
-
-	"github.com/teaselcleat/teaselcleat/platform"
 )
 
 // ReadAll calls visit for each record that a stream now holds, from the oldest
 // that is kept to its end.
-func ReadAll(ctx context.Context, log platform.Log, stream string, visit func(data []byte)) error {
+func ReadAll(ctx context.Context, log Log, stream string, visit func(data []byte)) error {
 	next := int64(0)
 	for {
 		batch, err := log.Read(ctx, stream, next, 0)
-		var gone *platform.RetentionError
+		var gone *RetentionError
 		if errors.As(err, &gone) {
 			next = gone.First
 			continue
--- a/logstream/tailer.go
+++ b/logstream/tailer.go
@@ -5,8 +5,6 @@
 	"errors"
 	"sync/atomic"
 	"time"
-
-	"github.com/teaselcleat/teaselcleat/platform"
 )
 
 // pollWait is how long one read may wait for the next record.
@@ -25,7 +23,7 @@
 
 // Tailer reads one stream into a sink. Run is its duty.
 type Tailer struct {
-	log    platform.Log
+	log    Log
 	stream string
 	sink   Sink
 	caught atomic.Bool  // has seen the end of the stream once
@@ -35,7 +33,7 @@
 }
 
 // NewTailer returns a tailer that has read nothing.
-func NewTailer(log platform.Log, stream string, sink Sink, now func() time.Time) *Tailer {
+func NewTailer(log Log, stream string, sink Sink, now func() time.Time) *Tailer {
 	return &Tailer{log: log, stream: stream, sink: sink, now: now}
 }
 
@@ -74,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+appendTimeout)
 	defer cancel()
 	batch, err := t.log.Read(ctx, t.stream, t.sink.Next(), wait)
-	var gone *platform.RetentionError
+	var gone *RetentionError
 	if errors.As(err, &gone) {
 		t.sink.Gap(gone.First)
 		return false
--- a/logstream/writer.go
+++ b/logstream/writer.go
@@ -13,7 +13,6 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/ring"
 )
 
@@ -45,7 +44,7 @@
 // Writer appends entries to one stream in groups, in the order they were
 // offered. Run is its duty.
 type Writer struct {
-	log       platform.Log
+	log       Log
 	stream    string
 	interval  time.Duration // least time between two appends
 	capacity  int
@@ -60,7 +59,7 @@
 
 // NewWriter returns a writer that holds at most capacity entries in its queue
 // and as many again that are being retried.
-func NewWriter(log platform.Log, stream string, interval time.Duration, capacity int, registry metrics.Registry) *Writer {
+func NewWriter(log Log, stream string, interval time.Duration, capacity int, registry metrics.Registry) *Writer {
 	w := &Writer{log: log, stream: stream, interval: interval, capacity: capacity, queue: ring.New[Entry](capacity)}
 	w.available.Store(true)
 	w.appends = metrics.GetOrRegisterCounter("log."+stream+".appends", registry)
--- a/peers/link.go
+++ b/peers/link.go
@@ -19,8 +19,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/teaselcleat/teaselcleat/hlc"
+	"github.com/teaselcleat/teaselcleat/membership"
 	"github.com/teaselcleat/teaselcleat/peers/peerpb"
-	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/ring"
 )
 
@@ -163,12 +163,12 @@
 }
 
 // Update sets the instances to be connected to, from the platform's list.
-func (l *Link) Update(ctx context.Context, list []platform.Listed) {
+func (l *Link) Update(ctx context.Context, list []membership.Listed) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wanted := map[string]string{}
 	for _, entry := range list {
-		if entry.Role == platform.RoleInstance && entry.ID != l.self && entry.PeerAddress != "" {
+		if entry.Role == membership.RoleInstance && entry.ID != l.self && entry.PeerAddress != "" {
 			wanted[entry.ID] = entry.PeerAddress
 		}
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -13,7 +13,8 @@
 	"github.com/gorilla/mux"
 
 	"github.com/teaselcleat/teaselcleat/adapters/platformhttp"
-	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/logstream"
+	"github.com/teaselcleat/teaselcleat/membership"
 )
 
 // DefaultListTTL is how long an announced machine stays listed without a refresh.
@@ -37,19 +38,19 @@
 }
 
 type listing struct {
-	entry platform.Listed
+	entry membership.Listed
 	at    time.Time
 	fixed bool // listed until removed
 }
 
 // Platform is an in-memory log service and instance list. It is an
-// http.Handler and implements platform.Log and platform.InstanceList as well.
+// http.Handler and implements logstream.Log and membership.InstanceList as well.
 type Platform struct {
 	mu      sync.Mutex
 	faults  PlatformFaults
 	streams map[string]*stream
 	listed  map[string]listing
-	frozen  []platform.Listed
+	frozen  []membership.Listed
 	appends int64
 	router  *mux.Router
 }
@@ -108,13 +109,13 @@
 	s.first += int64(excess)
 }
 
-// Append implements platform.Log.
+// Append implements logstream.Log.
 func (p *Platform) Append(ctx context.Context, name string, records [][]byte) (int64, error) {
 	p.delay(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.LogDown || p.faults.AppendDown {
-		return 0, platform.ErrUnavailable
+		return 0, logstream.ErrUnavailable
 	}
 	s := p.stream(name)
 	first := s.first + int64(len(s.records))
@@ -125,7 +126,7 @@
 	s.changed = make(chan struct{})
 	if p.faults.LoseAnswers > 0 {
 		p.faults.LoseAnswers--
-		return 0, platform.ErrUnavailable
+		return 0, logstream.ErrUnavailable
 	}
 	return first, nil
 }
@@ -146,8 +147,8 @@
 // maxRead is the most records of one answer.
 const maxRead = 2000
 
-// Read implements platform.Log.
-func (p *Platform) Read(ctx context.Context, name string, from int64, wait time.Duration) (platform.Batch, error) {
+// Read implements logstream.Log.
+func (p *Platform) Read(ctx context.Context, name string, from int64, wait time.Duration) (logstream.Batch, error) {
 	p.delay(ctx)
 	deadline := time.After(wait)
 	for {
@@ -160,22 +161,22 @@
 		case <-deadline:
 			return batch, nil
 		case <-ctx.Done():
-			return platform.Batch{}, platform.ErrUnavailable
+			return logstream.Batch{}, logstream.ErrUnavailable
 		}
 	}
 }
 
-func (p *Platform) readNow(name string, from int64) (platform.Batch, <-chan struct{}, error) {
+func (p *Platform) readNow(name string, from int64) (logstream.Batch, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.LogDown {
-		return platform.Batch{}, nil, platform.ErrUnavailable
+		return logstream.Batch{}, nil, logstream.ErrUnavailable
 	}
 	s := p.stream(name)
 	if from < s.first {
-		return platform.Batch{}, nil, &platform.RetentionError{First: s.first}
+		return logstream.Batch{}, nil, &logstream.RetentionError{First: s.first}
 	}
-	batch := platform.Batch{First: from, End: s.first + int64(len(s.records))}
+	batch := logstream.Batch{First: from, End: s.first + int64(len(s.records))}
 	if from < batch.End {
 		waiting := s.records[from-s.first:]
 		batch.Records = waiting[:min(len(waiting), maxRead)]
@@ -183,8 +184,8 @@
 	return batch, s.changed, nil
 }
 
-// Announce implements platform.InstanceList.
-func (p *Platform) Announce(_ context.Context, self platform.Listed) error {
+// Announce implements membership.InstanceList.
+func (p *Platform) Announce(_ context.Context, self membership.Listed) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listed[self.ID] = listing{entry: self, at: time.Now()}
@@ -192,7 +193,7 @@
 }
 
 // Fix lists a machine until Remove.
-func (p *Platform) Fix(entry platform.Listed) {
+func (p *Platform) Fix(entry membership.Listed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listed[entry.ID] = listing{entry: entry, fixed: true}
@@ -205,8 +206,8 @@
 	delete(p.listed, id)
 }
 
-// List implements platform.InstanceList.
-func (p *Platform) List(context.Context) ([]platform.Listed, error) {
+// List implements membership.InstanceList.
+func (p *Platform) List(context.Context) ([]membership.Listed, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.ListFrozen {
@@ -215,8 +216,8 @@
 	return p.current(), nil
 }
 
-func (p *Platform) current() []platform.Listed {
-	var list []platform.Listed
+func (p *Platform) current() []membership.Listed {
+	var list []membership.Listed
 	for _, known := range p.listed {
 		if known.fixed || time.Since(known.at) < DefaultListTTL {
 			list = append(list, known.entry)
@@ -247,7 +248,7 @@
 		return
 	}
 	batch, err := p.Read(r.Context(), mux.Vars(r)["name"], from, time.Duration(waitMS)*time.Millisecond)
-	if gone, ok := err.(*platform.RetentionError); ok {
+	if gone, ok := err.(*logstream.RetentionError); ok {
 		encode(w, http.StatusGone, platformhttp.ReadReply{First: gone.First})
 		return
 	}
@@ -259,7 +260,7 @@
 }
 
 func (p *Platform) serveAnnounce(w http.ResponseWriter, r *http.Request) {
-	var entry platform.Listed
+	var entry membership.Listed
 	if decode(w, r, &entry) {
 		_ = p.Announce(r.Context(), entry) // the stand-in's list never fails
 	}
@@ -282,7 +283,7 @@
 }
 
 func (p *Platform) serveFixed(w http.ResponseWriter, r *http.Request) {
-	var entry platform.Listed
+	var entry membership.Listed
 	if decode(w, r, &entry) {
 		p.Fix(entry)
 	}
