--- /dev/null
+++ b/batch/doc.go
@@ -0,0 +1,6 @@
+// Package batch owns the duties of an instance that serves jobs of steps: it
+// follows the configuration and the work stream, accepts and answers, and,
+// while it holds the term, places tasks on workers. What it decides is decided
+// in package placing; what it speaks to is behind the interfaces of this file's
+// package, which an adapter implements.
+package batch
--- /dev/null
+++ b/batch/election.go
@@ -0,0 +1,83 @@
+package batch
+
+import (
+	"strings"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+const (
+	// renewEvery is how often the holder of the term writes.
+	renewEvery = 500 * time.Millisecond
+	// termSilence is how long the holder may write nothing before another
+	// instance claims the term: four renewals, of which some may be slow.
+	termSilence = 2 * time.Second
+	// claimAgain is the pause between an instance's claims, longer than an
+	// append takes while the store is slow.
+	claimAgain = 700 * time.Millisecond
+	// claimSpread sets the instances' claims apart by their names, so that
+	// mostly one of them writes.
+	claimSpread = 300 * time.Millisecond
+	// holderGone is when a holder that lost the store gives up, whatever the
+	// others may think of it; work that it holds goes on until then, as the
+	// store may be away for everybody.
+	holderGone = 9 * time.Second
+)
+
+// election decides when an instance claims the term. It is pure: it is told
+// what the log showed and when.
+type election struct {
+	name      string // of the instance
+	holder    string // name and boot of this process
+	rank      time.Duration
+	term      jobs.Term
+	changedAt time.Time // when the term last changed or was renewed, as seen here
+	claimedAt time.Time
+}
+
+func newElection(name, holder string, hash uint64) *election {
+	spread := time.Duration(hash % uint64(claimSpread))
+	return &election{name: name, holder: holder, rank: spread}
+}
+
+// see takes the newest term of the fold.
+func (e *election) see(term jobs.Term, now time.Time) {
+	if term != e.term || e.changedAt.IsZero() {
+		e.term = term
+		e.changedAt = now
+	}
+}
+
+// away says that the store does not answer; silence does not count then.
+func (e *election) away(now time.Time) { e.changedAt = now }
+
+// held reports whether the log names this process as the holder.
+func (e *election) held() bool { return e.term.Holder == e.holder }
+
+// claim reports whether to claim the next term now. It is asked only while
+// this process does not lead.
+func (e *election) claim(now time.Time) bool {
+	if now.Sub(e.claimedAt) < claimAgain {
+		return false
+	}
+	if !e.vacant(now) {
+		return false
+	}
+	e.claimedAt = now
+	return true
+}
+
+// vacant reports whether nobody holds the term: it was handed over, its holder
+// was an earlier life of this instance, or it is silent.
+func (e *election) vacant(now time.Time) bool {
+	silent := now.Sub(e.changedAt)
+	if e.term.Holder == "" {
+		return silent >= e.rank
+	}
+	name, _, _ := strings.Cut(e.term.Holder, "/")
+	if name == e.name {
+		return true
+	}
+	return silent >= termSilence+e.rank
+}
--- /dev/null
+++ b/batch/follow.go
@@ -0,0 +1,197 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+	"github.com/teaselcleat/teaselcleat/logstream"
+)
+
+const (
+	// retryFirst and retryMost bound the pause after a failed call to the store.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// contactStale is how long after its last answer the store counts as away;
+	// reads wait pollWait at most, and take up to 0.3 s when it is slow.
+	contactStale = 2200 * time.Millisecond
+	// pollWait is how long a read waits for a record.
+	pollWait = time.Second
+)
+
+// follower keeps up with one stream: the newest record of each key, then the
+// tail. It is used by one goroutine, but for its accessors.
+type follower struct {
+	store  Store
+	stream Stream
+	log    *logrus.Entry
+	clock  *Clock
+	apply  func(Batch)          // called in order, under lock
+	reset  func()               // called before newest records are read again
+	gap    func() time.Duration // pause after a read that brought records
+
+	lock    sync.Mutex // held while records are applied
+	next    int64
+	loaded  bool
+	contact time.Time // when the last answered read was sent
+	failing bool
+}
+
+// run follows the stream until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		if err := f.once(ctx); err != nil {
+			f.lost(err)
+			if !logstream.Sleep(ctx, pause) {
+				return
+			}
+			pause = min(retryMost, 2*pause)
+			continue
+		}
+		pause = retryFirst
+	}
+}
+
+func (f *follower) once(ctx context.Context) error {
+	if !f.isLoaded() {
+		return f.load(ctx)
+	}
+	sent := f.clock.Now()
+	batch, err := f.store.Read(ctx, f.stream, f.position(), pollWait)
+	if errors.Is(err, ErrForgotten) {
+		f.log.WithField("stream", string(f.stream)).Info("history_forgotten")
+		return f.load(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.take(batch, sent)
+	if len(batch.Records) > 0 {
+		logstream.Sleep(ctx, f.gap())
+	}
+	return nil
+}
+
+// load reads the newest record of each key. Reading goes on at the offset that
+// was noted before the first page.
+func (f *follower) load(ctx context.Context) error {
+	sent := f.clock.Now()
+	batch, err := f.store.Newest(ctx, f.stream)
+	if err != nil {
+		return err
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.reset != nil {
+		f.reset()
+	}
+	f.apply(batch)
+	f.next = max(f.next, batch.Next)
+	f.loaded = true
+	f.touch(sent)
+	return nil
+}
+
+// take applies a batch, or the part of it that is new.
+func (f *follower) take(batch Batch, sent time.Time) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.touch(sent)
+	first := batch.Next - int64(len(batch.Records))
+	skip := f.next - first
+	if skip < 0 || skip > int64(len(batch.Records)) {
+		return
+	}
+	batch.Records = batch.Records[skip:]
+	batch.Offsets = batch.Offsets[skip:]
+	if len(batch.Records) == 0 {
+		return
+	}
+	f.apply(batch)
+	f.next = batch.Next
+}
+
+// refresh reads what was written before the call, so that a later look at the
+// fold misses nothing of it.
+func (f *follower) refresh(ctx context.Context) error {
+	sent := f.clock.Now()
+	batch, err := f.store.Read(ctx, f.stream, f.position(), 0)
+	if err != nil {
+		return err
+	}
+	f.take(batch, sent)
+	return nil
+}
+
+func (f *follower) touch(sent time.Time) {
+	if f.failing {
+		f.log.WithField("stream", string(f.stream)).Info("store_regained")
+	}
+	f.failing = false
+	if sent.After(f.contact) {
+		f.contact = sent
+	}
+}
+
+func (f *follower) lost(err error) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if !f.failing {
+		f.log.WithField("stream", string(f.stream)).WithField("error", err.Error()).Warn("store_lost")
+	}
+	f.failing = true
+}
+
+func (f *follower) isLoaded() bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.loaded
+}
+
+func (f *follower) position() int64 {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.next
+}
+
+// inContact reports whether the store answered this stream's reads lately.
+func (f *follower) inContact() bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.loaded && f.clock.Now().Sub(f.contact) < contactStale
+}
+
+// workFold is the fold of the work stream with those who wait for it.
+type workFold struct {
+	table    *jobs.Table
+	log      *logrus.Entry
+	dirty    map[string]bool // jobs that changed since the placing duty last looked
+	watching bool            // a placing duty looks at dirty
+	signal   chan struct{}
+}
+
+func newWorkFold(log *logrus.Entry) *workFold {
+	return &workFold{table: jobs.NewTable(), log: log, dirty: map[string]bool{}, signal: make(chan struct{}, 1)}
+}
+
+func (w *workFold) apply(batch Batch) {
+	for index, record := range batch.Records {
+		change, err := w.table.Apply(record, batch.Offsets[index])
+		if err != nil {
+			w.log.WithField("error", err.Error()).Error("record_unreadable")
+			continue
+		}
+		if change.Job != "" && w.watching {
+			w.dirty[change.Job] = true
+		}
+	}
+	select {
+	case w.signal <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/batch/leader.go
@@ -0,0 +1,370 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+	"github.com/teaselcleat/teaselcleat/logstream"
+	"github.com/teaselcleat/teaselcleat/placing"
+	"github.com/teaselcleat/teaselcleat/ring"
+)
+
+const (
+	// eventRing bounds the answers that wait for the placing duty; a worker has
+	// a hold and a few orders under way at a time.
+	eventRing = 1024
+	// leadTick is how often the placing duty looks at the time when nothing
+	// happens: due times and lapses are exact to it.
+	leadTick = 50 * time.Millisecond
+	// listPause is the pause between reads of the workers' list, which changes
+	// some thirty times a second; a leaving worker must be known in 2 s.
+	listPause = 400 * time.Millisecond
+	// handOverTimeout bounds the last append of a holder that is stopped.
+	handOverTimeout = 500 * time.Millisecond
+)
+
+// event is an answer or a change that the placing duty takes in.
+type event interface {
+	apply(l *leader, now time.Time)
+}
+
+// leader is the duty of the instance that holds the term.
+type leader struct {
+	instance *Instance
+	log      *logrus.Entry
+	clock    *Clock
+	engine   *placing.Engine
+	epoch    int64
+	events   *ring.Ring[event]
+	links    map[string]*link
+	writer   *fencedWriter
+	deposed  bool
+	entries  map[string]placing.WorkerEntry // guarded by the list follower's lock
+	listed   *follower
+	running  sync.WaitGroup
+	ctx      context.Context // ends with the term
+}
+
+// lead holds the term until it is lost or ctx ends.
+func (i *Instance) lead(ctx context.Context, term jobs.Term, sequence int64, handedOver bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l := &leader{
+		instance: i,
+		log:      i.log.WithField("epoch", term.Epoch),
+		clock:    i.clock,
+		engine:   placing.New(i.limits(), term.Epoch, i.clock.WallMS),
+		epoch:    term.Epoch,
+		events:   ring.New[event](eventRing),
+		links:    map[string]*link{},
+		entries:  map[string]placing.WorkerEntry{},
+		ctx:      ctx,
+	}
+	l.writer = newFencedWriter(i.store, l, term, sequence)
+	l.log.WithField("handed_over", handedOver).Info("term_won")
+	i.metrics.leading.Update(1)
+	l.load(handedOver)
+	l.start(ctx, l.writer.run)
+	l.listed = l.newList()
+	l.start(ctx, l.listed.run)
+	l.loop(ctx)
+	cancel()
+	l.running.Wait()
+	i.metrics.leading.Update(0)
+	l.log.Info("term_over")
+}
+
+func (l *leader) start(ctx context.Context, run func(context.Context)) {
+	l.running.Add(1)
+	go func() {
+		defer l.running.Done()
+		run(ctx)
+	}()
+}
+
+// load gives the engine the fold as it is, and from then on what changes.
+func (l *leader) load(handedOver bool) {
+	i := l.instance
+	i.work.lock.Lock()
+	defer i.work.lock.Unlock()
+	i.fold.watching = true
+	clear(i.fold.dirty)
+	l.configure()
+	l.engine.Load(i.fold.table.All(), handedOver, l.clock.Now())
+}
+
+func (l *leader) configure() {
+	config := l.instance.Config()
+	if config == nil {
+		return
+	}
+	queues := make([]jobs.Queue, 0, len(config.Queues))
+	for index := range config.Queues {
+		queues = append(queues, config.Queues[index].Queue)
+	}
+	l.engine.Configure(queues, config.Guarantees)
+}
+
+func (l *leader) newList() *follower {
+	return &follower{
+		store:  l.instance.store,
+		stream: StreamWorkers,
+		log:    l.log,
+		clock:  l.clock,
+		apply:  l.applyList,
+		reset:  func() { clear(l.entries) },
+		gap:    func() time.Duration { return listPause },
+	}
+}
+
+func (l *leader) applyList(batch Batch) {
+	for _, record := range batch.Records {
+		entry, gone, err := l.instance.decoder.Worker(record)
+		if err != nil {
+			l.log.WithField("error", err.Error()).Warn("worker_entry_unreadable")
+			continue
+		}
+		if gone {
+			delete(l.entries, entry.ID)
+			continue
+		}
+		l.entries[entry.ID] = entry
+	}
+	l.offer(listChanged{})
+}
+
+// offer hands an event to the loop without waiting; events that may be offered
+// so come again.
+func (l *leader) offer(e event) { l.events.Offer(e) }
+
+// listChanged says that the list of workers was read.
+type listChanged struct{}
+
+func (listChanged) apply(l *leader, now time.Time) {
+	l.listed.lock.Lock()
+	entries := make([]placing.WorkerEntry, 0, len(l.entries))
+	for _, entry := range l.entries {
+		entries = append(entries, entry)
+	}
+	l.listed.lock.Unlock()
+	l.engine.List(entries, now)
+	for _, entry := range entries {
+		l.watch(entry)
+	}
+}
+
+func (l *leader) loop(ctx context.Context) {
+	ticker := time.NewTicker(leadTick)
+	defer ticker.Stop()
+	defer l.unwatch()
+	for ctx.Err() == nil && !l.deposed {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.instance.handOver:
+			l.handOver()
+			return
+		case next := <-l.events.Items():
+			next.apply(l, l.clock.Now())
+		case <-l.instance.fold.signal:
+		case <-ticker.C:
+		}
+		l.drainEvents()
+		l.takeChanges()
+		if !l.termStands() {
+			return
+		}
+		l.carryOut(ctx, l.engine.Decide(l.clock.Now()))
+		l.writer.renewIfDue(l.clock.Now())
+	}
+}
+
+func (l *leader) drainEvents() {
+	for range eventRing {
+		next, ok := l.events.TryTake()
+		if !ok {
+			return
+		}
+		next.apply(l, l.clock.Now())
+	}
+}
+
+// takeChanges passes on what other instances wrote.
+func (l *leader) takeChanges() {
+	i := l.instance
+	i.work.lock.Lock()
+	defer i.work.lock.Unlock()
+	now := l.clock.Now()
+	for id := range i.fold.dirty {
+		job := i.fold.table.Job(id)
+		if job == nil {
+			continue
+		}
+		l.engine.Submit(job.Submission, now)
+		if job.Cancelled {
+			l.engine.Cancel(id, now)
+		}
+	}
+	clear(i.fold.dirty)
+	if i.fold.table.Term().Epoch > l.epoch {
+		l.depose("a later term is on record")
+	}
+	if i.configChanged.Swap(false) {
+		l.configure()
+	}
+}
+
+// termStands reports whether this instance may go on. Without the store it
+// does for some time, as the store may be away for everybody; workers that have
+// met a later holder refuse it meanwhile.
+func (l *leader) termStands() bool {
+	if l.deposed {
+		return false
+	}
+	if l.clock.Now().Sub(l.writer.confirmed()) > holderGone {
+		l.depose("the store is out of reach")
+	}
+	return !l.deposed
+}
+
+func (l *leader) depose(why string) {
+	if !l.deposed {
+		l.log.WithField("reason", why).Warn("term_lost")
+	}
+	l.deposed = true
+}
+
+func (l *leader) unwatch() {
+	i := l.instance
+	i.work.lock.Lock()
+	defer i.work.lock.Unlock()
+	i.fold.watching = false
+	clear(i.fold.dirty)
+}
+
+// carryOut starts what a plan asks for.
+func (l *leader) carryOut(ctx context.Context, plan placing.Plan) {
+	for _, note := range plan.Notes {
+		l.logNote(note)
+	}
+	if len(plan.Records) > 0 {
+		l.writer.offer(plan.Records)
+	}
+	for _, stop := range plan.Stops {
+		if link := l.links[stop.Worker]; link != nil {
+			l.start(ctx, func(ctx context.Context) { link.stop(ctx, stop) })
+		}
+	}
+	for _, order := range plan.Starts {
+		l.sendStart(ctx, order)
+	}
+	for worker, number := range plan.Acks {
+		if link := l.links[worker]; link != nil {
+			link.acknowledge(number)
+		}
+	}
+	for _, worker := range plan.Forget {
+		l.forget(worker)
+	}
+}
+
+func (l *leader) sendStart(ctx context.Context, order placing.Start) {
+	link := l.links[order.Worker]
+	if link == nil {
+		l.engine.StartAnswered(order.Worker, order.Task, order.Run, placing.StartRefused, l.clock.Now())
+		return
+	}
+	l.start(ctx, func(ctx context.Context) { link.startRun(ctx, order) })
+}
+
+func (l *leader) logNote(note placing.Note) {
+	entry := l.log
+	if note.Job != "" {
+		entry = entry.WithField("job", note.Job)
+	}
+	if note.Worker != "" {
+		entry = entry.WithField("worker", note.Worker)
+	}
+	if note.Detail != "" {
+		entry = entry.WithField("detail", note.Detail)
+	}
+	entry.Info(note.Event)
+	l.instance.metrics.count("decisions." + note.Event)
+}
+
+// handOver writes the term without a holder, so that another instance claims
+// it at once.
+func (l *leader) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := l.writer.handOver(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		l.log.WithField("error", err.Error()).Warn("hand_over_failed")
+		return
+	}
+	l.log.Info("term_handed_over")
+}
+
+// claimTerm tries to win the next term. Whether it was won, the fold tells.
+func (i *Instance) claimTerm(ctx context.Context, current jobs.Term) {
+	if i.claimed.Epoch <= current.Epoch {
+		i.claimed = jobs.Term{Epoch: current.Epoch + 1, Holder: i.holder}
+		i.claimSequence = i.randomSequence()
+	}
+	record, err := jobs.TermRecord(i.claimed)
+	if err != nil {
+		i.log.WithField("error", err.Error()).Error("term_record")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimAgain)
+	defer cancel()
+	fence := &Fence{Epoch: i.claimed.Epoch, Sequence: i.claimSequence}
+	_, err = i.store.Append(ctx, []jobs.Record{record}, fence)
+	i.log.WithField("epoch", i.claimed.Epoch).WithField("former", current.Holder).WithField("result", errorText(err)).Info("term_claimed")
+	if err == nil {
+		i.refreshWork(ctx)
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return err.Error()
+}
+
+// placingDuty claims the term when it is vacant and leads while it is held.
+func (i *Instance) placingDuty(ctx context.Context) {
+	vote := newElection(i.settings.Name, i.holder, i.nameHash)
+	for ctx.Err() == nil {
+		select {
+		case <-i.fold.signal:
+		case <-time.After(leadTick):
+		}
+		if ctx.Err() != nil || i.draining.Load() {
+			logstream.Sleep(ctx, leadTick)
+			continue
+		}
+		now := i.clock.Now()
+		if !i.work.inContact() || i.Config() == nil {
+			vote.away(now)
+			continue
+		}
+		before := vote.term
+		vote.see(i.term(), now)
+		if vote.held() && vote.term.Epoch == i.claimed.Epoch {
+			handedOver := before.Holder == "" && before.Epoch == vote.term.Epoch-1
+			i.lead(ctx, vote.term, i.claimSequence, handedOver)
+			vote.away(i.clock.Now())
+			i.claimed = jobs.Term{}
+			continue
+		}
+		if vote.claim(now) {
+			i.claimTerm(ctx, vote.term)
+		}
+	}
+}
--- /dev/null
+++ b/batch/link.go
@@ -0,0 +1,329 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+	"github.com/teaselcleat/teaselcleat/logstream"
+	"github.com/teaselcleat/teaselcleat/placing"
+)
+
+const (
+	// holdWait is how long a worker may keep a hold open for an end; the
+	// workers allow two seconds. A lease of six lasts three of these.
+	holdWait = 1900 * time.Millisecond
+	// holdSlack is added before a hold counts as unanswered.
+	holdSlack = 600 * time.Millisecond
+	// holdPauseFirst and holdPauseMost bound the pause after such a hold.
+	holdPauseFirst = 100 * time.Millisecond
+	holdPauseMost  = 600 * time.Millisecond
+	// ackPatience is how long a link waits for ends to be durable before it
+	// looks again: an append takes milliseconds unless the store is away.
+	ackPatience = 600 * time.Millisecond
+	// orderTimeout is how long a start or a stop may go unanswered.
+	orderTimeout = 700 * time.Millisecond
+	// leaseDrift and leaseSlack bound how much later than its length a lease
+	// may end: workers' clocks may be 2 % slow, and are known to a round trip.
+	leaseDrift = 0.02
+	leaseSlack = 400 * time.Millisecond
+	// leaseLow is the rest of a lease below which a start extends it.
+	leaseLow = 3 * time.Second
+)
+
+// link is the connection of the holder of the term to one worker: it renews
+// leases, brings ends and passes orders on.
+type link struct {
+	leader *leader
+	cancel context.CancelFunc
+	wake   chan struct{} // an acknowledgement has come
+
+	lock      sync.Mutex
+	entry     placing.WorkerEntry
+	acked     int64     // ends that the worker may forget
+	clockMS   int64     // of the worker, at clockAt; 0 while unknown
+	clockAt   time.Time //
+	untilMS   int64     // lease granted, on the worker's clock
+	lapseAt   time.Time // when it has lapsed for certain
+	answering bool
+}
+
+// watch opens a link to a worker, or tells the one there is of a new entry.
+func (l *leader) watch(entry placing.WorkerEntry) {
+	if known := l.links[entry.ID]; known != nil {
+		known.lock.Lock()
+		known.entry = entry
+		known.lock.Unlock()
+		return
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	made := &link{leader: l, cancel: cancel, wake: make(chan struct{}, 1), entry: entry}
+	l.links[entry.ID] = made
+	l.running.Add(1)
+	go func() {
+		defer l.running.Done()
+		made.run(ctx)
+	}()
+}
+
+func (l *leader) forget(worker string) {
+	if known := l.links[worker]; known != nil {
+		known.cancel()
+		delete(l.links, worker)
+		l.instance.workers.Forget(known.entry)
+	}
+}
+
+// run holds the worker until ctx ends.
+func (k *link) run(ctx context.Context) {
+	pause := holdPauseFirst
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		report, sent, err := k.hold(ctx, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			k.failed(ctx, err)
+			logstream.Sleep(ctx, pause)
+			pause = min(holdPauseMost, 2*pause)
+			wait = 0
+			continue
+		}
+		pause = holdPauseFirst
+		k.leader.events.Put(ctx, holdAnswered{worker: k.worker().ID, report: report, sent: sent, lapseAt: k.lapse()})
+		wait = k.afterReport(ctx, report, wait)
+	}
+}
+
+// afterReport waits until the ends that came are durable, and returns how long
+// the next hold may wait: not at all if it would only bring the same ends.
+func (k *link) afterReport(ctx context.Context, report HoldReport, waited time.Duration) time.Duration {
+	if len(report.Ended) == 0 {
+		return holdWait
+	}
+	newest := report.Ended[len(report.Ended)-1].Number
+	timer := time.NewTimer(ackPatience)
+	defer timer.Stop()
+	for k.acknowledged() < newest {
+		select {
+		case <-ctx.Done():
+			return 0
+		case <-timer.C:
+			return 0
+		case <-k.wake:
+		}
+	}
+	return holdWait
+}
+
+func (k *link) hold(ctx context.Context, wait time.Duration) (HoldReport, time.Time, error) {
+	sent := k.leader.clock.Now()
+	order := HoldOrder{UntilMS: k.extend(sent), Epoch: k.leader.epoch, Ack: k.acknowledged(), Wait: wait}
+	ctx, cancel := context.WithTimeout(ctx, wait+holdSlack)
+	defer cancel()
+	report, err := k.leader.instance.workers.Hold(ctx, k.worker(), order)
+	if err != nil {
+		return report, sent, err
+	}
+	k.answered(report.ClockMS)
+	return report, sent, nil
+}
+
+// extend returns the lease to ask for. While the worker does not answer, it is
+// not extended, so that the time at which all has lapsed stands fast.
+func (k *link) extend(now time.Time) int64 {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	if k.clockMS == 0 || !k.answering {
+		return k.untilMS
+	}
+	lease := k.leader.instance.settings.Lease
+	k.untilMS = max(k.untilMS, k.clockMS+now.Sub(k.clockAt).Milliseconds()+lease.Milliseconds())
+	k.lapseAt = now.Add(time.Duration(float64(lease)*(1+leaseDrift)) + leaseSlack)
+	return k.untilMS
+}
+
+// leaseForStart returns the lease that a start carries.
+func (k *link) leaseForStart(now time.Time) int64 {
+	k.lock.Lock()
+	left := k.untilMS - k.clockMS - now.Sub(k.clockAt).Milliseconds()
+	until := k.untilMS
+	k.lock.Unlock()
+	if left > leaseLow.Milliseconds() {
+		return until
+	}
+	return k.extend(now)
+}
+
+func (k *link) answered(clockMS int64) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	k.clockMS = clockMS
+	k.clockAt = k.leader.clock.Now()
+	k.answering = true
+}
+
+func (k *link) failed(ctx context.Context, err error) {
+	k.lock.Lock()
+	was := k.answering
+	k.answering = false
+	k.lock.Unlock()
+	if was {
+		k.leader.log.WithField("worker", k.worker().ID).WithField("error", err.Error()).Info("worker_silent")
+	}
+	var refused *OrderError
+	if !errors.As(err, &refused) {
+		k.leader.events.Put(ctx, unreachable{worker: k.worker().ID, lapseAt: k.lapse()})
+		return
+	}
+	k.refused(ctx, refused)
+}
+
+// refused passes on refusals that say more than that an order was not taken.
+func (k *link) refused(ctx context.Context, refused *OrderError) {
+	switch refused.Refusal {
+	case RefusedFence:
+		k.leader.events.Put(ctx, fencedOff{})
+	case RefusedReborn:
+		k.leader.events.Put(ctx, reborn{worker: k.worker().ID})
+	}
+}
+
+func (k *link) worker() placing.WorkerEntry {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	return k.entry
+}
+
+func (k *link) lapse() time.Time {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	return k.lapseAt
+}
+
+func (k *link) acknowledged() int64 {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	return k.acked
+}
+
+func (k *link) acknowledge(number int64) {
+	k.lock.Lock()
+	k.acked = max(k.acked, number)
+	k.lock.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// startRun sends a start and brings its answer to the placing duty.
+func (k *link) startRun(ctx context.Context, order placing.Start) {
+	sent := k.leader.clock.Now()
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	_, err := k.leader.instance.workers.Start(call, k.worker(), StartOrder{
+		Task:       order.Task,
+		Run:        order.Run,
+		Spec:       order.Spec,
+		Checkpoint: order.Checkpoint,
+		UntilMS:    k.leaseForStart(sent),
+		Epoch:      k.leader.epoch,
+	})
+	result := startResult(err)
+	k.leader.instance.metrics.startTime.Update(k.leader.clock.Now().Sub(sent).Microseconds())
+	if err != nil {
+		k.leader.log.WithField("job", order.Task.Job).WithField("task", order.Task.String()).WithField("run", order.Run).
+			WithField("worker", order.Worker).WithField("error", err.Error()).Info("start_failed")
+	}
+	var refused *OrderError
+	if errors.As(err, &refused) {
+		k.refused(ctx, refused)
+	}
+	k.leader.events.Put(ctx, startAnswered{worker: order.Worker, task: order.Task, run: order.Run, result: result})
+}
+
+func startResult(err error) placing.StartResult {
+	if err == nil {
+		return placing.StartAccepted
+	}
+	var refused *OrderError
+	if !errors.As(err, &refused) {
+		return placing.StartUnknown
+	}
+	switch refused.Refusal {
+	case RefusedRoom:
+		return placing.StartNoRoom
+	case RefusedBusy:
+		return placing.StartBusy
+	}
+	return placing.StartRefused
+}
+
+// stop sends a stop; one that is not answered comes again from the engine.
+func (k *link) stop(ctx context.Context, order placing.Stop) {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	_, err := k.leader.instance.workers.Stop(call, k.worker(), StopOrder{Task: order.Task, Run: order.Run, Epoch: k.leader.epoch})
+	if err == nil {
+		k.leader.events.Put(ctx, stopAnswered{worker: order.Worker, task: order.Task, run: order.Run})
+		return
+	}
+	var refused *OrderError
+	if errors.As(err, &refused) {
+		k.refused(ctx, refused)
+	}
+}
+
+// holdAnswered brings a worker's report.
+type holdAnswered struct {
+	worker  string
+	report  HoldReport
+	sent    time.Time
+	lapseAt time.Time
+}
+
+func (h holdAnswered) apply(l *leader, now time.Time) {
+	l.engine.Report(h.worker, h.sent, h.report.Running, h.report.Ended, h.lapseAt, now)
+}
+
+// unreachable says that a hold was not answered.
+type unreachable struct {
+	worker  string
+	lapseAt time.Time
+}
+
+func (u unreachable) apply(l *leader, _ time.Time) { l.engine.Unreachable(u.worker, u.lapseAt) }
+
+// reborn says that another life answers at a worker's address.
+type reborn struct {
+	worker string
+}
+
+func (r reborn) apply(l *leader, now time.Time) { l.engine.Reborn(r.worker, now) }
+
+// startAnswered brings the answer to a start.
+type startAnswered struct {
+	worker string
+	task   jobs.TaskKey
+	run    int
+	result placing.StartResult
+}
+
+func (s startAnswered) apply(l *leader, now time.Time) {
+	l.engine.StartAnswered(s.worker, s.task, s.run, s.result, now)
+}
+
+// stopAnswered says that a worker took a stop.
+type stopAnswered struct {
+	worker string
+	task   jobs.TaskKey
+	run    int
+}
+
+func (s stopAnswered) apply(l *leader, now time.Time) {
+	l.engine.StopAnswered(s.worker, s.task, s.run, now)
+}
--- /dev/null
+++ b/batch/metrics.go
@@ -0,0 +1,36 @@
+package batch
+
+import "github.com/rcrowley/go-metrics"
+
+// sampleSize bounds the memory of a latency histogram.
+const sampleSize = 256
+
+// instruments are the metrics of an instance. Times are in microseconds.
+type instruments struct {
+	registry      metrics.Registry
+	leading       metrics.Gauge     // 1 on the instance that places
+	configVersion metrics.Gauge     // version in force here
+	appendTime    metrics.Histogram // of the holder's appends
+	submitTime    metrics.Histogram // from a submission's arrival to its answer
+	startTime     metrics.Histogram // of orders to start
+}
+
+func newInstruments(registry metrics.Registry) *instruments {
+	made := &instruments{
+		registry:      registry,
+		leading:       metrics.NewRegisteredGauge("term.leading", registry),
+		configVersion: metrics.NewRegisteredGauge("configuration.version", registry),
+	}
+	made.appendTime = made.histogram("store.append_us")
+	made.submitTime = made.histogram("calls.submit_us")
+	made.startTime = made.histogram("workers.start_us")
+	return made
+}
+
+func (m *instruments) histogram(name string) metrics.Histogram {
+	return metrics.NewRegisteredHistogram(name, m.registry, metrics.NewUniformSample(sampleSize))
+}
+
+func (m *instruments) count(name string) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
--- /dev/null
+++ b/batch/outside.go
@@ -0,0 +1,136 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+	"github.com/teaselcleat/teaselcleat/placing"
+)
+
+// Errors of a Store.
+var (
+	// ErrNotDone says that the store certainly did nothing.
+	ErrNotDone = eris.New("the store did nothing")
+	// ErrUnknown says that a write may have taken effect, or may yet.
+	ErrUnknown = eris.New("no answer from the store")
+	// ErrFenced says that a placing instance with a higher epoch has written.
+	ErrFenced = eris.New("a later term has written")
+	// ErrForgotten says that the records asked for are no longer kept.
+	ErrForgotten = eris.New("records are no longer kept")
+)
+
+// Stream names a stream of keyed records.
+type Stream string
+
+// Streams that an instance reads. It writes to StreamWork alone.
+const (
+	StreamWork     Stream = "work"     // submissions, cancellations, progress, the term
+	StreamOperator Stream = "operator" // the operators' configuration
+	StreamWorkers  Stream = "workers"  // the workers' own entries
+)
+
+// Fence makes an append conditional: the store refuses it once a higher epoch
+// has written, and writes a repeat of the same sequence number only once.
+type Fence struct {
+	Epoch    int64
+	Sequence int64
+}
+
+// Batch is a run of records of a stream. Offsets[i] is that of Records[i].
+type Batch struct {
+	Records []jobs.Record
+	Offsets []int64
+	Next    int64 // offset from which to read on
+}
+
+// Store is the platform's store of keyed records. Its methods may be called by
+// several goroutines; each call ends with its context.
+type Store interface {
+	// Append adds records all or none and returns the first one's offset. A nil
+	// fence sets no condition. Errors: ErrNotDone, ErrUnknown, ErrFenced.
+	Append(ctx context.Context, records []jobs.Record, fence *Fence) (int64, error)
+	// Read returns records of a stream from an offset on, waiting up to wait for
+	// the first. Errors: ErrForgotten, or any failure of the call.
+	Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (Batch, error)
+	// Newest returns the newest record of each key. Next is the offset at which
+	// reading must go on, since pages are read while others write.
+	Newest(ctx context.Context, stream Stream) (Batch, error)
+}
+
+// Decoder turns the records of outside streams into values.
+type Decoder interface {
+	// Config decodes a record of StreamOperator; ok is false for other records.
+	Config(record jobs.Record) (config *Config, ok bool, err error)
+	// Worker decodes a record of StreamWorkers; gone says that the entry left.
+	Worker(record jobs.Record) (entry placing.WorkerEntry, gone bool, err error)
+}
+
+// Workers gives orders to workers. Calls end with their context; any error
+// other than a *OrderError leaves open whether the order takes effect.
+type Workers interface {
+	Start(ctx context.Context, worker placing.WorkerEntry, order StartOrder) (clockMS int64, err error)
+	Stop(ctx context.Context, worker placing.WorkerEntry, order StopOrder) (clockMS int64, err error)
+	Hold(ctx context.Context, worker placing.WorkerEntry, order HoldOrder) (HoldReport, error)
+	// Forget drops what is kept for a worker that is not called any more.
+	Forget(worker placing.WorkerEntry)
+}
+
+// Refusal is why a worker refused an order.
+type Refusal string
+
+// Refusals of workers. After any of them the order did and will do nothing.
+const (
+	RefusedFence   Refusal = "fence"   // it has served a later term
+	RefusedOld     Refusal = "old"     // the run is not above one stopped or ended there
+	RefusedLate    Refusal = "late"    // the lease asked for is over
+	RefusedRoom    Refusal = "room"    // the task does not fit
+	RefusedBusy    Refusal = "busy"    // unhealthy
+	RefusedReborn  Refusal = "reborn"  // another life of the worker answered
+	RefusedInvalid Refusal = "invalid" // it cannot read the order
+	RefusedTicket  Refusal = "ticket"  // no valid advice
+)
+
+// OrderError is a worker's refusal.
+type OrderError struct {
+	Refusal Refusal
+	ClockMS int64
+}
+
+// Error names the refusal.
+func (e *OrderError) Error() string { return "worker refused the order: " + string(e.Refusal) }
+
+// StartOrder starts a run of a task.
+type StartOrder struct {
+	Task       jobs.TaskKey
+	Run        int
+	Spec       string
+	Checkpoint string
+	UntilMS    int64 // lease, on the worker's clock
+	Epoch      int64
+}
+
+// StopOrder stops a run, or makes the worker refuse it should it come later.
+type StopOrder struct {
+	Task  jobs.TaskKey
+	Run   int
+	Epoch int64
+}
+
+// HoldOrder renews the lease of all that runs on a worker, forgets ends up to
+// Ack, and asks for what runs and what ended.
+type HoldOrder struct {
+	UntilMS int64 // on the worker's clock; 0 renews nothing
+	Epoch   int64
+	Ack     int64
+	Wait    time.Duration // the answer may wait so long for an end
+}
+
+// HoldReport answers a hold.
+type HoldReport struct {
+	ClockMS int64
+	Running []placing.RunningTask
+	Ended   []placing.EndedTask
+}
--- /dev/null
+++ b/batch/serve.go
@@ -0,0 +1,159 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// Verdict is what a caller is told of a call.
+type Verdict int
+
+// Verdicts.
+const (
+	Accepted    Verdict = iota // the call took effect, or had before
+	NotRun                     // it had no effect and never will
+	Undecided                  // it may take effect
+	NoSuchJob                  // nobody submitted the job, or it was forgotten
+	Unavailable                // it cannot be answered now
+)
+
+// Outcome is a verdict with its reason, for the caller and the log.
+type Outcome struct {
+	Verdict    Verdict
+	Reason     string
+	RetryAfter time.Duration // when to come back; 0 if not to
+}
+
+const (
+	// retryAway is told while the store does not answer here: outages last
+	// seconds, and other instances may be in touch with it.
+	retryAway = time.Second
+	// retryFull is told when too many records wait to be written.
+	retryFull = time.Second
+)
+
+// Submit stores a job. It is accepted once its record is durable.
+func (i *Instance) Submit(ctx context.Context, submission *jobs.Submission) Outcome {
+	begin := i.clock.Now()
+	outcome := i.submit(ctx, submission)
+	i.metrics.submitTime.Update(i.clock.Now().Sub(begin).Microseconds())
+	i.logOutcome("submit", submission.ID, outcome)
+	return outcome
+}
+
+func (i *Instance) submit(ctx context.Context, submission *jobs.Submission) Outcome {
+	if i.known(submission.ID) {
+		return Outcome{Verdict: Accepted, Reason: "known"}
+	}
+	if !i.work.inContact() {
+		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: retryAway}
+	}
+	submission.AcceptedMS = i.clock.WallMS(i.clock.Now())
+	record, err := jobs.SubmissionRecord(submission)
+	if err != nil {
+		return Outcome{Verdict: NotRun, Reason: err.Error()}
+	}
+	err = i.committer.write(ctx, record)
+	switch {
+	case err == nil:
+		return Outcome{Verdict: Accepted, Reason: "stored"}
+	case errors.Is(err, ErrNotDone):
+		return Outcome{Verdict: NotRun, Reason: "store refuses", RetryAfter: retryFull}
+	}
+	if i.known(submission.ID) {
+		return Outcome{Verdict: Accepted, Reason: "read back"}
+	}
+	return Outcome{Verdict: Undecided, Reason: "store did not answer", RetryAfter: retryAway}
+}
+
+// Cancel ends a job.
+func (i *Instance) Cancel(ctx context.Context, id string) Outcome {
+	outcome := i.cancelJob(ctx, id)
+	i.logOutcome("cancel", id, outcome)
+	return outcome
+}
+
+func (i *Instance) cancelJob(ctx context.Context, id string) Outcome {
+	state, outcome := i.state(ctx, id)
+	if outcome.Verdict != Accepted {
+		return outcome
+	}
+	if state.Final() {
+		return Outcome{Verdict: Accepted, Reason: "already " + string(state)}
+	}
+	if !i.work.inContact() {
+		return Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
+	}
+	if err := i.committer.write(ctx, jobs.CancelRecord(id)); err != nil {
+		return Outcome{Verdict: Undecided, Reason: err.Error(), RetryAfter: retryAway}
+	}
+	return Outcome{Verdict: Accepted, Reason: "stored"}
+}
+
+// State answers what became of a job.
+func (i *Instance) State(ctx context.Context, id string) (jobs.State, Outcome) {
+	return i.state(ctx, id)
+}
+
+// state looks a job up. One that is not known here may have been accepted
+// elsewhere a moment ago, so the log is read up to now before it is denied.
+func (i *Instance) state(ctx context.Context, id string) (jobs.State, Outcome) {
+	if state, ok := i.lookUp(id); ok {
+		return state, Outcome{Verdict: Accepted}
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if err := i.work.refresh(ctx); err != nil || !i.work.isLoaded() {
+		return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
+	}
+	if state, ok := i.lookUp(id); ok {
+		return state, Outcome{Verdict: Accepted}
+	}
+	return "", Outcome{Verdict: NoSuchJob, Reason: "not in the log"}
+}
+
+// Waiting counts the accepted jobs of a queue of which nothing has started.
+func (i *Instance) Waiting(queue string) int {
+	i.work.lock.Lock()
+	defer i.work.lock.Unlock()
+	return i.fold.table.Waiting(queue)
+}
+
+func (i *Instance) known(id string) bool {
+	_, ok := i.lookUp(id)
+	return ok
+}
+
+func (i *Instance) lookUp(id string) (jobs.State, bool) {
+	i.work.lock.Lock()
+	defer i.work.lock.Unlock()
+	job := i.fold.table.Job(id)
+	if job == nil {
+		return "", false
+	}
+	return job.State(), true
+}
+
+func (i *Instance) logOutcome(call, id string, outcome Outcome) {
+	i.metrics.count("calls." + call + "." + outcome.Verdict.String())
+	i.log.WithField("job", id).WithField("verdict", outcome.Verdict.String()).WithField("reason", outcome.Reason).
+		WithField("retry_after_ms", outcome.RetryAfter.Milliseconds()).Info(call)
+}
+
+// String is for logs and metrics.
+func (v Verdict) String() string {
+	switch v {
+	case Accepted:
+		return "accepted"
+	case NotRun:
+		return "not_run"
+	case Undecided:
+		return "undecided"
+	case NoSuchJob:
+		return "no_such_job"
+	}
+	return "unavailable"
+}
--- /dev/null
+++ b/batch/settings.go
@@ -0,0 +1,21 @@
+package batch
+
+import "time"
+
+// Settings is what an instance is told about itself and the deployment's
+// bounds. Names and addresses come from the platform's file.
+type Settings struct {
+	Name             string
+	AvailabilityZone string
+	Lease            time.Duration // longest lease a worker grants
+	StopWithin       time.Duration // longest time a stop takes
+	GangWait         time.Duration // how long a gang's member waits for the others
+	Reclaim          time.Duration // within which guaranteed urgent jobs begin
+	WorkerHeartbeat  time.Duration // between a worker's entries in the list
+	KeepEnded        time.Duration // how long an ended job stays known
+	Grace            time.Duration // from the order to stop until the kill
+	CheckpointEvery  time.Duration
+	Restore          time.Duration // what resuming costs
+	Early            time.Duration // how much before its time a job may start
+	RemoteFactor     float64
+}
--- a/command/command.go
+++ b/command/command.go
@@ -36,6 +36,7 @@
 
 func subcommands() map[string]subcommand {
 	return map[string]subcommand{
+		"front":    {"front [-settings FILE]: run one instance on the users' platform", runFront},
 		"serve":    {"serve -config FILE: run one entry instance", runServe},
 		"dev":      {"dev [-demo]: run the whole system in one process on loopback", runDev},
 		"check":    {"check -config FILE: check a settings file", runCheck},
--- /dev/null
+++ b/command/front.go
@@ -0,0 +1,135 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/teaselcleat/teaselcleat/batch"
+	"github.com/teaselcleat/teaselcleat/platform"
+)
+
+const (
+	// frontGC is the growth of the heap between collections, in percent. Peak
+	// memory is dear to the users, and the heap is a few megabytes.
+	frontGC = 60
+	// memoryShare of the process's limit is where collections become eager.
+	memoryShare = 0.6
+	// leaveBalancer is how long a stopping instance still takes new
+	// connections: the balancer asks once a second and believes two misses.
+	leaveBalancer = 2500 * time.Millisecond
+	// closeSlack is kept of the grace for the process's end.
+	closeSlack = 700 * time.Millisecond
+	// headTime bounds the reading of a request's head and body, idleTime an idle
+	// connection of a caller.
+	headTime = 5 * time.Second
+	idleTime = 30 * time.Second
+)
+
+// runFront runs one instance on the users' platform, as its settings file says.
+func runFront(args []string, to output) int {
+	flags := newFlags("front", to)
+	path := flags.String("settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
+	if code, ok := parse(flags, args, 0, 0, to); !ok {
+		return code
+	}
+	loaded, err := platform.ReadSettings(*path)
+	if err != nil {
+		fmt.Fprintln(to.err, err.Error())
+		return ExitUsage
+	}
+	debug.SetGCPercent(frontGC)
+	if loaded.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryMB<<20)))
+	}
+	log := logrus.New()
+	log.SetOutput(to.out)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	entry := log.WithField("instance", loaded.Name)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	process := newFrontProcess(loaded, entry)
+	if err := process.start(); err != nil {
+		return fail(to, "front", err)
+	}
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			break
+		}
+		process.reload(*path)
+	}
+	process.stop()
+	return ExitDone
+}
+
+// frontProcess is an instance with its two listeners.
+type frontProcess struct {
+	settings *platform.Settings
+	log      *logrus.Entry
+	instance *batch.Instance
+	front    *http.Server
+	ready    *http.Server
+}
+
+func newFrontProcess(loaded *platform.Settings, log *logrus.Entry) *frontProcess {
+	registry := metrics.NewRegistry()
+	store := platform.NewStore(loaded.StoreAddress)
+	instance := batch.New(loaded.Settings, store, platform.Decoder{}, platform.NewWorkers(), registry, log)
+	return &frontProcess{
+		settings: loaded,
+		log:      log,
+		instance: instance,
+		front:    &http.Server{Addr: loaded.FrontAddress, Handler: platform.FrontHandler(instance), ReadTimeout: headTime, IdleTimeout: idleTime},
+		ready:    &http.Server{Addr: loaded.ReadyAddress, Handler: platform.ReadyHandler(instance), ReadTimeout: headTime, IdleTimeout: idleTime},
+	}
+}
+
+func (p *frontProcess) start() error {
+	for _, server := range []*http.Server{p.front, p.ready} {
+		listener, err := listen(server.Addr)
+		if err != nil {
+			return err
+		}
+		go func() {
+			if err := server.Serve(listener); err != http.ErrServerClosed {
+				p.log.WithField("error", err.Error()).Error("server_ended")
+			}
+		}()
+	}
+	p.instance.Start()
+	return nil
+}
+
+// reload reads the settings file again. Addresses and name stay for the life
+// of the process; a faulty file changes nothing.
+func (p *frontProcess) reload(path string) {
+	loaded, err := platform.ReadSettings(path)
+	if err != nil {
+		p.log.WithField("error", err.Error()).Error("settings_refused")
+		return
+	}
+	p.settings = loaded
+	p.log.Info("settings_reloaded")
+}
+
+// stop leaves the balancer, lets callers finish, and ends within the grace.
+func (p *frontProcess) stop() {
+	p.instance.Drain()
+	time.Sleep(min(leaveBalancer, p.settings.Grace/2))
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Grace/2-closeSlack)
+	defer cancel()
+	if err := p.front.Shutdown(ctx); err != nil {
+		p.log.WithField("error", err.Error()).Warn("calls_cut")
+	}
+	p.instance.Stop()
+	p.ready.Close()
+}
--- /dev/null
+++ b/jobs/record.go
@@ -0,0 +1,85 @@
+package jobs
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Record is one keyed record of the work stream. An empty value drops the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Prefixes of keys. What follows is the job's ID; the term has one key alone.
+const (
+	submissionPrefix = "s/"
+	cancelPrefix     = "c/"
+	progressPrefix   = "p/"
+	termKey          = "term"
+)
+
+// TaskProgress is what lasts of a task beyond the placing instance's memory.
+type TaskProgress struct {
+	Occurrence int    `json:"o,omitempty"`
+	Step       int    `json:"s,omitempty"`
+	Index      int    `json:"i,omitempty"`
+	Run        int    `json:"r"`           // highest run that was placed
+	Done       bool   `json:"d,omitempty"` // ended as done
+	Failed     int    `json:"f,omitempty"` // runs ended as failed
+	Worker     string `json:"w,omitempty"` // where Run may be; empty once it is over
+	Checkpoint string `json:"k,omitempty"` // newest saved state
+}
+
+// Progress is what became of a job.
+type Progress struct {
+	State   State          `json:"s"`
+	Reason  string         `json:"y,omitempty"` // why it failed
+	EndedMS int64          `json:"e,omitempty"` // since 1970, of the final state
+	Tasks   []TaskProgress `json:"t,omitempty"`
+}
+
+// Term names the placing instance. Epoch fences its orders and its appends.
+type Term struct {
+	Epoch    int64  `json:"e"`
+	Holder   string `json:"h"`           // instance name and boot; empty once handed over
+	Renewals int64  `json:"n,omitempty"` // grows with each renewal
+}
+
+// SubmissionRecord returns the record that accepts a job.
+func SubmissionRecord(s *Submission) (Record, error) { return encode(submissionPrefix+s.ID, s) }
+
+// ProgressRecord returns the record of a job's progress.
+func ProgressRecord(id string, p *Progress) (Record, error) { return encode(progressPrefix+id, p) }
+
+// TermRecord returns the record that claims, renews or hands over the term.
+func TermRecord(t Term) (Record, error) { return encode(termKey, t) }
+
+// CancelRecord returns the record that cancels a job.
+func CancelRecord(id string) Record { return Record{Key: cancelPrefix + id, Value: []byte{'1'}} }
+
+// ForgetRecords returns the records that drop a job, its progress last, so
+// that a second copy of its submission meets the progress while it lies there.
+func ForgetRecords(id string) []Record {
+	return []Record{{Key: submissionPrefix + id}, {Key: cancelPrefix + id}, {Key: progressPrefix + id}}
+}
+
+func encode(key string, value any) (Record, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return Record{}, eris.Wrap(err, "encode record "+key)
+	}
+	return Record{Key: key, Value: encoded}, nil
+}
+
+func decode[T any](record Record) (*T, error) {
+	value := new(T)
+	if err := json.Unmarshal(record.Value, value); err != nil {
+		return nil, eris.Wrap(err, "decode record "+record.Key)
+	}
+	return value, nil
+}
+
+func subject(key, prefix string) (string, bool) { return strings.CutPrefix(key, prefix) }
--- /dev/null
+++ b/placing/care.go
@@ -0,0 +1,76 @@
+package placing
+
+import "time"
+
+const (
+	// stallAfter is how long a task may make no progress before it is held to
+	// stand still: reports come every two seconds at most, and a task takes
+	// several seconds for its hundred parts.
+	stallAfter = 3500 * time.Millisecond
+	// stallShare is the share of the expected run time that may pass without
+	// progress, for tasks so long that one part takes longer than stallAfter.
+	stallShare = 0.3
+	// leaveSlack is how long before a worker's leaving its tasks are stopped so
+	// that their saved states arrive.
+	leaveSlack = 500 * time.Millisecond
+)
+
+// care moves what runs on leaving workers and what stands still.
+func (e *Engine) care(now time.Time) {
+	for _, known := range e.nodeOrder {
+		for _, run := range append([]*run(nil), known.runs...) {
+			if run.phase != phaseRunning || run.task.run != run {
+				continue
+			}
+			if known.entry.Leaving && e.mustLeave(run, now) {
+				e.stopUnit(run, "worker leaving", now)
+				continue
+			}
+			if known.answering && e.stalled(run, now) {
+				known.health.failed(now)
+				e.stopUnit(run, "no progress", now)
+			}
+		}
+	}
+}
+
+// stopUnit stops a run and, if it is a gang's, all members.
+func (e *Engine) stopUnit(run *run, why string, now time.Time) {
+	if run.task.step.spec.Gang {
+		e.dissolve(run.task.step, why, now)
+		return
+	}
+	e.stopRun(run, why, now)
+}
+
+// mustLeave reports whether a run on a leaving worker is to be stopped now: at
+// once if it cannot be finished and saves nothing, else just in time.
+func (e *Engine) mustLeave(run *run, now time.Time) bool {
+	left := run.node.leaveAt.Sub(now)
+	if e.remaining(run, now) <= left {
+		return false
+	}
+	if run.task.step.spec.Checkpoints {
+		return left < e.limits.StopWithin+leaveSlack
+	}
+	return true
+}
+
+// remaining is how long a run still takes, by its own progress so far.
+func (e *Engine) remaining(run *run, now time.Time) time.Duration {
+	expected := e.runtime(run.task.step.job, run.task.key.Step)
+	worked := now.Sub(run.startedAt)
+	if run.percent <= 0 {
+		return max(0, expected-worked)
+	}
+	return time.Duration(float64(worked) * float64(100-run.percent) / float64(run.percent))
+}
+
+func (e *Engine) stalled(run *run, now time.Time) bool {
+	if run.task.step.spec.Lasting || run.task.step.spec.Fills || !run.seen {
+		return false
+	}
+	expected := e.runtime(run.task.step.job, run.task.key.Step)
+	allowed := max(stallAfter, time.Duration(stallShare*float64(expected)))
+	return now.Sub(run.percentAt) > allowed
+}
--- /dev/null
+++ b/placing/engine.go
@@ -0,0 +1,287 @@
+package placing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// Limits are what the deployment states, and the instance passes on.
+type Limits struct {
+	Lease        time.Duration // longest lease of what runs on a worker
+	StopWithin   time.Duration // longest time a stop takes
+	GangWait     time.Duration // how long a member waits for its gang
+	Reclaim      time.Duration // within which guaranteed urgent jobs begin
+	KeepEnded    time.Duration // how long an ended job stays known
+	Restore      time.Duration // what resuming from a saved state costs
+	RemoteFactor float64       // how much longer a task takes away from its rack
+	// HolderGone is when a holder of the term that lost the store gives up for
+	// certain; leases it granted until then may run on.
+	HolderGone time.Duration
+}
+
+// Engine is the state of the placing instance. Its methods are called by one
+// goroutine; now never runs backwards.
+type Engine struct {
+	limits     Limits
+	epoch      int64
+	wallMS     func(now time.Time) int64 // time of day at a moment of the steady clock
+	jobs       map[string]*job
+	active     []*job // jobs without a final state, in the order of acceptance
+	nodes      map[string]*node
+	nodeOrder  []*node // by ID, for decisions that repeat
+	queues     map[string]jobs.Queue
+	guarantees map[string]int64
+	learned    map[string]*estimate // by queue
+	sizes      map[string]*sizes    // by queue
+
+	plan       Plan
+	pending    []*run // placed, their record not yet sent
+	recording  []*run // placed, their record on its way
+	changed    []*job // dirty, in order
+	inFlight   bool   // a batch of records is on its way
+	ackPending map[*node]int64
+	ackFlight  map[*node]int64
+	scans      int64 // counts decisions, for those that need not be taken each time
+}
+
+// New returns an engine for one term. wallMS gives the time of day, in
+// milliseconds since 1970, at a moment of the clock that the other calls use.
+func New(limits Limits, epoch int64, wallMS func(time.Time) int64) *Engine {
+	return &Engine{
+		limits:     limits,
+		epoch:      epoch,
+		wallMS:     wallMS,
+		jobs:       map[string]*job{},
+		nodes:      map[string]*node{},
+		queues:     map[string]jobs.Queue{},
+		guarantees: map[string]int64{},
+		learned:    map[string]*estimate{},
+		sizes:      map[string]*sizes{},
+		ackPending: map[*node]int64{},
+		ackFlight:  map[*node]int64{},
+	}
+}
+
+// Start is an order to start a run, sent once its placement is on record.
+type Start struct {
+	Task       jobs.TaskKey
+	Run        int
+	Worker     string
+	Spec       string
+	Checkpoint string
+}
+
+// Stop is an order to stop a run.
+type Stop struct {
+	Task   jobs.TaskKey
+	Run    int
+	Worker string
+}
+
+// Note is one decision, for the log.
+type Note struct {
+	Event  string
+	Job    string
+	Task   string
+	Worker string
+	Detail string
+}
+
+// Plan is what is to be done next.
+type Plan struct {
+	Records []jobs.Record    // to be appended as one group; then call Recorded
+	Starts  []Start          // to be sent
+	Stops   []Stop           // to be sent
+	Acks    map[string]int64 // by worker: ends that may be forgotten
+	Forget  []string         // workers that need not be watched any more
+	Notes   []Note           // what was decided and why
+}
+
+// Configure takes the operators' queues and guarantees.
+func (e *Engine) Configure(queues []jobs.Queue, guarantees map[string]int64) {
+	for _, queue := range queues {
+		e.queues[queue.Name] = queue
+	}
+	e.guarantees = guarantees
+	for _, job := range e.active {
+		job.queue = e.queueOf(job.submission)
+	}
+}
+
+func (e *Engine) queueOf(submission *jobs.Submission) jobs.Queue {
+	if queue, known := e.queues[submission.Queue.Name]; known {
+		return queue
+	}
+	return submission.Queue
+}
+
+// Load takes over the fold at the beginning of the term. Runs on record are
+// looked for at their workers; handedOver says that the former holder has
+// certainly stopped.
+func (e *Engine) Load(list []*jobs.Job, handedOver bool, now time.Time) {
+	lapse := now.Add(e.leaseLapse())
+	if !handedOver {
+		lapse = lapse.Add(e.limits.HolderGone)
+	}
+	for _, known := range list {
+		job := e.addJob(known.Submission, now)
+		if known.Progress != nil {
+			e.restore(job, known.Progress, lapse)
+		}
+		if known.Cancelled {
+			e.Cancel(known.Submission.ID, now)
+		}
+	}
+}
+
+// Submit takes a job from the log. One that is known already is left alone.
+func (e *Engine) Submit(submission *jobs.Submission, now time.Time) {
+	if e.jobs[submission.ID] == nil {
+		e.addJob(submission, now)
+	}
+}
+
+func (e *Engine) addJob(submission *jobs.Submission, now time.Time) *job {
+	job := newJob(submission, e.queueOf(submission), now, e.wallMS(now))
+	e.jobs[submission.ID] = job
+	e.active = append(e.active, job)
+	e.measure(job)
+	return job
+}
+
+// Cancel ends a job that has no final state: what runs is stopped.
+func (e *Engine) Cancel(id string, now time.Time) {
+	job := e.jobs[id]
+	if job == nil || job.state.Final() {
+		return
+	}
+	e.finish(job, jobs.StateCancelled, "", now)
+}
+
+// finish gives a job its final state, stops what runs of it and writes it down.
+func (e *Engine) finish(job *job, state jobs.State, reason string, now time.Time) {
+	job.state = state
+	job.reason = reason
+	job.endedAt = now
+	job.endedMS = e.wallMS(now)
+	job.claim = nil
+	e.touch(job)
+	e.note("job_ended", job, "", string(state)+" "+reason)
+	for _, task := range job.allTasks() {
+		if task.run != nil {
+			e.stopRun(task.run, "job "+string(state), now)
+		}
+	}
+}
+
+func (e *Engine) touch(job *job) {
+	if !job.dirty {
+		job.dirty = true
+		e.changed = append(e.changed, job)
+	}
+}
+
+func (e *Engine) note(event string, job *job, worker, detail string) {
+	e.plan.Notes = append(e.plan.Notes, Note{Event: event, Job: job.submission.ID, Worker: worker, Detail: detail})
+}
+
+// Decide returns what is to be done at now. Orders and records of the plan are
+// each to be carried out once.
+func (e *Engine) Decide(now time.Time) Plan {
+	e.scans++
+	e.expire(now)
+	e.chaseRuns(now)
+	e.care(now)
+	e.dropFinished(now)
+	e.place(now)
+	e.flush()
+	plan := e.plan
+	e.plan = Plan{}
+	return plan
+}
+
+// flush sends one batch of records, if none is on its way.
+func (e *Engine) flush() {
+	if e.inFlight || (len(e.changed) == 0 && len(e.ackPending) == 0) {
+		return
+	}
+	if len(e.changed) == 0 {
+		e.ackFlight, e.ackPending = e.ackPending, map[*node]int64{}
+		e.releaseAcks()
+		return
+	}
+	for _, job := range e.changed {
+		job.dirty = false
+		e.plan.Records = append(e.plan.Records, job.record())
+	}
+	e.changed = nil
+	e.recording, e.pending = e.pending, nil
+	e.ackFlight, e.ackPending = e.ackPending, map[*node]int64{}
+	e.inFlight = true
+}
+
+// Recorded says that the records of the last plan that had some are durable.
+// The starts and acknowledgements that depend on them come with the next plan.
+func (e *Engine) Recorded(now time.Time) {
+	e.inFlight = false
+	for _, run := range e.recording {
+		e.order(run, now)
+	}
+	e.recording = nil
+	e.releaseAcks()
+}
+
+func (e *Engine) releaseAcks() {
+	for node, number := range e.ackFlight {
+		if e.plan.Acks == nil {
+			e.plan.Acks = map[string]int64{}
+		}
+		e.plan.Acks[node.entry.ID] = number
+	}
+	e.ackFlight = map[*node]int64{}
+}
+
+// dropFinished takes jobs with a final state out of the active ones, and drops
+// those whose time of being known is over.
+func (e *Engine) dropFinished(now time.Time) {
+	kept := e.active[:0]
+	for _, job := range e.active {
+		if !job.state.Final() {
+			kept = append(kept, job)
+		}
+	}
+	clear(e.active[len(kept):])
+	e.active = kept
+	if e.scans%forgetEvery != 0 {
+		return
+	}
+	for _, id := range e.sortedJobs() {
+		job := e.jobs[id]
+		if job.state.Final() && now.Sub(job.endedAt) > e.limits.KeepEnded+forgetSlack && !job.dirty && !e.inFlight {
+			e.plan.Records = append(e.plan.Records, jobs.ForgetRecords(id)...)
+			delete(e.jobs, id)
+		}
+	}
+	if len(e.plan.Records) > 0 {
+		e.inFlight = true
+	}
+}
+
+func (e *Engine) sortedJobs() []string {
+	ids := make([]string, 0, len(e.jobs))
+	for id := range e.jobs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+const (
+	// forgetEvery is how many decisions lie between two looks for jobs to
+	// forget; decisions come every 25 ms to 100 ms.
+	forgetEvery = 256
+	// forgetSlack is kept beyond the stated time, as clocks differ by seconds.
+	forgetSlack = 30 * time.Second
+)
--- /dev/null
+++ b/placing/job.go
@@ -0,0 +1,217 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// job is one job in the engine's memory.
+type job struct {
+	submission *jobs.Submission
+	queue      jobs.Queue
+	acceptedAt time.Time // on the steady clock; earlier than the engine, perhaps
+	firstMS    int64     // time of day at acceptedAt
+	state      jobs.State
+	reason     string
+	endedAt    time.Time
+	endedMS    int64
+	dirty      bool
+	runs       []*occurrence
+	claim      *claim // capacity set aside while others are stopped for this job
+}
+
+// occurrence is one run of the steps of a job.
+type occurrence struct {
+	dueMS  int64 // time of day; 0: at once
+	due    bool  // its time has come
+	steps  []*step
+	left   int // tasks not done
+	doneAt time.Time
+}
+
+// step is one step of an occurrence. A gang's tasks are placed, ended and
+// counted as one.
+type step struct {
+	job     *job
+	spec    *jobs.Step
+	tasks   []*task
+	left    int       // tasks not done
+	readyAt time.Time // when its turn came; zero before
+}
+
+// task is one task.
+type task struct {
+	step       *step
+	key        jobs.TaskKey
+	done       bool
+	failed     int // runs that ended as failed
+	lastRun    int // highest run number given
+	checkpoint string
+	run        *run // nil unless a run may exist
+	avoid      string
+}
+
+// phase is how far a run got.
+type phase int
+
+const (
+	phasePlanned  phase = iota // capacity is taken, nothing was sent
+	phaseOrdered               // the start was sent and not yet answered
+	phaseRunning               // the worker has it
+	phaseDoubtful              // it may be there or come there; a stop settles it
+	phaseStopping              // a stop was ordered
+)
+
+// run is one run of a task, from its placement until it is certain that it
+// neither runs nor will.
+type run struct {
+	task       *task
+	number     int
+	node       *node
+	phase      phase
+	orderedAt  time.Time
+	startedAt  time.Time // when the worker was known to have it
+	percent    int
+	percentAt  time.Time // when percent last grew
+	stopSentAt time.Time
+	stopDoneAt time.Time // when the worker took the stop
+	why        string    // of the stop
+	seen       bool      // a report of the worker has shown it
+	wantNode   bool      // restored from the log; its worker has not reported yet
+}
+
+func newJob(submission *jobs.Submission, queue jobs.Queue, now time.Time, nowMS int64) *job {
+	age := time.Duration(0)
+	if submission.AcceptedMS > 0 && submission.AcceptedMS < nowMS {
+		age = time.Duration(nowMS-submission.AcceptedMS) * time.Millisecond
+	}
+	job := &job{submission: submission, queue: queue, state: jobs.StateQueued, acceptedAt: now.Add(-age)}
+	job.firstMS = nowMS - age.Milliseconds()
+	for index := range submission.Runs() {
+		job.runs = append(job.runs, newOccurrence(job, index))
+	}
+	return job
+}
+
+func newOccurrence(job *job, number int) *occurrence {
+	submission := job.submission
+	made := &occurrence{left: submission.TasksOfRun()}
+	if submission.Occurrences > 0 {
+		made.dueMS = submission.FirstAtMS + int64(number)*submission.PeriodMS
+	}
+	for stepIndex := range submission.Steps {
+		spec := &submission.Steps[stepIndex]
+		step := &step{job: job, spec: spec, left: spec.Tasks}
+		for index := range spec.Tasks {
+			key := jobs.TaskKey{Job: submission.ID, Occurrence: number, Step: stepIndex, Index: index}
+			step.tasks = append(step.tasks, &task{step: step, key: key})
+		}
+		made.steps = append(made.steps, step)
+	}
+	return made
+}
+
+func (j *job) task(key jobs.TaskKey) *task {
+	if key.Occurrence >= len(j.runs) || key.Step >= len(j.submission.Steps) {
+		return nil
+	}
+	tasks := j.runs[key.Occurrence].steps[key.Step].tasks
+	if key.Index >= len(tasks) {
+		return nil
+	}
+	return tasks[key.Index]
+}
+
+func (j *job) allTasks() []*task {
+	var list []*task
+	for _, occurrence := range j.runs {
+		for _, step := range occurrence.steps {
+			list = append(list, step.tasks...)
+		}
+	}
+	return list
+}
+
+// record is the job's progress as it is kept in the log.
+func (j *job) record() jobs.Record {
+	progress := &jobs.Progress{State: j.state, Reason: j.reason}
+	if j.state.Final() {
+		progress.EndedMS = j.endedMS
+	}
+	for _, task := range j.allTasks() {
+		if task.lastRun == 0 && !task.done {
+			continue
+		}
+		kept := jobs.TaskProgress{
+			Occurrence: task.key.Occurrence,
+			Step:       task.key.Step,
+			Index:      task.key.Index,
+			Run:        task.lastRun,
+			Done:       task.done,
+			Failed:     task.failed,
+		}
+		if !task.done {
+			kept.Checkpoint = task.checkpoint
+		}
+		if task.run != nil {
+			kept.Worker = task.run.node.entry.ID
+		}
+		progress.Tasks = append(progress.Tasks, kept)
+	}
+	record, err := jobs.ProgressRecord(j.submission.ID, progress)
+	if err != nil {
+		panic("placing: progress cannot be encoded: " + err.Error())
+	}
+	return record
+}
+
+// restore takes what the log says of a job. Runs on record become doubtful
+// until their workers have reported, or until lapse.
+func (e *Engine) restore(job *job, progress *jobs.Progress, lapse time.Time) {
+	job.state = progress.State
+	job.reason = progress.Reason
+	if progress.State.Final() {
+		job.endedMS = progress.EndedMS
+		job.endedAt = job.acceptedAt.Add(time.Duration(progress.EndedMS-job.firstMS) * time.Millisecond)
+	}
+	for _, kept := range progress.Tasks {
+		key := jobs.TaskKey{Job: job.submission.ID, Occurrence: kept.Occurrence, Step: kept.Step, Index: kept.Index}
+		task := job.task(key)
+		if task == nil {
+			continue
+		}
+		task.lastRun = kept.Run
+		task.failed = kept.Failed
+		task.checkpoint = kept.Checkpoint
+		if kept.Done {
+			e.markDone(task)
+		}
+		if kept.Worker == "" {
+			continue
+		}
+		node := e.node(kept.Worker, lapse)
+		run := &run{task: task, number: kept.Run, node: node, phase: phaseRunning, wantNode: true}
+		task.run = run
+		node.runs = append(node.runs, run)
+	}
+}
+
+func (e *Engine) markDone(task *task) {
+	if task.done {
+		return
+	}
+	task.done = true
+	task.step.left--
+	task.step.job.runs[task.key.Occurrence].left--
+}
+
+// ready reports whether the steps before this one have ended.
+func (s *step) ready(occurrence *occurrence) bool {
+	for _, earlier := range s.spec.After {
+		if occurrence.steps[earlier].left > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/placing/node.go
@@ -0,0 +1,166 @@
+package placing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+const (
+	// clockDrift is how slow a worker's clock may be, so how much longer its
+	// leases may last; the pages say 2 %.
+	clockDrift = 0.02
+	// lapseSlack is added for the estimate of the worker's clock and for the
+	// way of an order.
+	lapseSlack = 400 * time.Millisecond
+)
+
+// leaseLapse is the time after which a lease granted now has certainly lapsed.
+func (e *Engine) leaseLapse() time.Duration {
+	return time.Duration(float64(e.limits.Lease)*(1+clockDrift)) + lapseSlack
+}
+
+// node is one life of a worker.
+type node struct {
+	entry     WorkerEntry
+	listed    bool
+	reported  bool      // it has answered a hold of this term
+	answering bool      // its last hold was answered
+	lapseAt   time.Time // when everything there has lapsed, unless renewed
+	runs      []*run    // that may be there
+	foreign   int       // runs there that this engine does not know
+	seenEnd   int64     // highest number of an end that was handled
+	fullUntil time.Time // it refused for room; its next report tells
+	leaveAt   time.Time // when it may be gone, while leaving
+	health    health
+}
+
+// used is what the runs that may be there occupy.
+func (n *node) used() jobs.Resources {
+	var sum jobs.Resources
+	for _, run := range n.runs {
+		sum = sum.Add(run.need())
+	}
+	return sum
+}
+
+// need is what the run occupies. Cores that are taken only while others leave
+// them do not count.
+func (r *run) need() jobs.Resources {
+	need := r.task.step.spec.Need
+	if r.task.step.spec.Fills {
+		need.MilliCores = 0
+	}
+	return need
+}
+
+func (n *node) drop(run *run) {
+	for index, candidate := range n.runs {
+		if candidate == run {
+			n.runs = append(n.runs[:index], n.runs[index+1:]...)
+			return
+		}
+	}
+}
+
+func (n *node) find(key jobs.TaskKey, number int) *run {
+	for _, run := range n.runs {
+		if run.number == number && run.task.key == key {
+			return run
+		}
+	}
+	return nil
+}
+
+// node returns the books of a worker, made anew if need be. lapse is when what
+// a former holder of the term started there has lapsed.
+func (e *Engine) node(id string, lapse time.Time) *node {
+	known := e.nodes[id]
+	if known == nil {
+		known = &node{entry: WorkerEntry{ID: id}, lapseAt: lapse}
+		e.nodes[id] = known
+		e.nodeOrder = append(e.nodeOrder, known)
+		sort.Slice(e.nodeOrder, func(a, b int) bool { return e.nodeOrder[a].entry.ID < e.nodeOrder[b].entry.ID })
+	}
+	return known
+}
+
+// List takes the workers as the platform lists them now. Those that are not
+// listed any more get nothing new; what runs there goes on while they answer.
+func (e *Engine) List(entries []WorkerEntry, now time.Time) {
+	for _, known := range e.nodeOrder {
+		known.listed = false
+	}
+	for _, entry := range entries {
+		known := e.node(entry.ID, now)
+		if entry.Leaving && !known.entry.Leaving {
+			known.leaveAt = now.Add(entry.Remaining)
+			e.plan.Notes = append(e.plan.Notes, Note{Event: "worker_leaving", Worker: entry.ID, Detail: "remaining " + entry.Remaining.String()})
+		}
+		known.entry = entry
+		known.listed = true
+	}
+	e.dropNodes()
+}
+
+func (e *Engine) dropNodes() {
+	kept := e.nodeOrder[:0]
+	for _, known := range e.nodeOrder {
+		if known.listed || len(known.runs) > 0 {
+			kept = append(kept, known)
+			continue
+		}
+		delete(e.nodes, known.entry.ID)
+		delete(e.ackPending, known)
+		delete(e.ackFlight, known)
+		e.plan.Forget = append(e.plan.Forget, known.entry.ID)
+	}
+	clear(e.nodeOrder[len(kept):])
+	e.nodeOrder = kept
+}
+
+// Unreachable says that a hold was not answered. lapseAt is when everything
+// there has lapsed if nothing is renewed.
+func (e *Engine) Unreachable(worker string, lapseAt time.Time) {
+	known := e.nodes[worker]
+	if known == nil {
+		return
+	}
+	known.answering = false
+	if !lapseAt.IsZero() {
+		known.lapseAt = lapseAt
+	}
+}
+
+// Reborn says that another life answers at the worker's address, so this one
+// and all that ran there are over.
+func (e *Engine) Reborn(worker string, now time.Time) {
+	known := e.nodes[worker]
+	if known == nil {
+		return
+	}
+	known.answering = false
+	known.listed = false
+	for _, run := range append([]*run(nil), known.runs...) {
+		e.resolve(run, "worker reborn", now)
+	}
+	e.dropNodes()
+}
+
+// expire gives up what ran on workers whose leases have lapsed.
+func (e *Engine) expire(now time.Time) {
+	dropped := false
+	for _, known := range e.nodeOrder {
+		if known.answering || known.lapseAt.IsZero() || now.Before(known.lapseAt) || len(known.runs) == 0 {
+			continue
+		}
+		for _, run := range append([]*run(nil), known.runs...) {
+			e.resolve(run, "lease lapsed", now)
+		}
+		dropped = dropped || !known.listed
+	}
+	if dropped {
+		e.dropNodes()
+	}
+}
--- /dev/null
+++ b/placing/place.go
@@ -0,0 +1,112 @@
+package placing
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+const (
+	// rackPatience is how long a step waits for the rack that suits it, as a
+	// share of its expected run time: away from it, it takes three times as
+	// long, so waiting up to its own run time is the better choice.
+	rackPatience = 1.0
+	// urgentPatience replaces it for urgent steps, which must have begun within
+	// the reclaim time.
+	urgentPatience = 300 * time.Millisecond
+)
+
+// place seats waiting work and, for urgent work that finds no room, makes room.
+func (e *Engine) place(now time.Time) {
+	units := e.waiting(now)
+	if len(units) == 0 {
+		return
+	}
+	open := e.openView(now)
+	for _, unit := range units {
+		e.placeUnit(unit, open, now)
+	}
+}
+
+// openView is what is free on the nodes that may get new work.
+func (e *Engine) openView(now time.Time) *view {
+	open := &view{free: map[*node]jobs.Resources{}}
+	for _, known := range e.nodeOrder {
+		if !known.open(now) {
+			continue
+		}
+		open.nodes = append(open.nodes, known)
+		open.free[known] = known.entry.Capacity.Sub(known.used())
+	}
+	for _, job := range e.active {
+		if job.claim == nil {
+			continue
+		}
+		for _, seat := range job.claim.seats {
+			open.take(seat.node, seat.task.step.need())
+		}
+	}
+	return open
+}
+
+// open reports whether a node may get new work.
+func (n *node) open(now time.Time) bool {
+	sound := n.listed && n.reported && n.answering && !n.entry.Leaving && n.foreign == 0
+	return sound && !now.Before(n.fullUntil) && !now.Before(n.health.until)
+}
+
+func (e *Engine) placeUnit(unit *unit, open *view, now time.Time) {
+	claimed := unit.job.claim
+	if claimed != nil && claimed.step == unit.step {
+		for _, seat := range claimed.seats {
+			open.give(seat.node, seat.task.step.need())
+		}
+		unit.job.claim = nil
+	}
+	seats := open.fit(unit, e.patient(unit, now))
+	if len(seats) > 0 {
+		e.seat(unit, seats, open, now)
+		return
+	}
+	if claimed != nil && claimed.step == unit.step && now.Before(claimed.until) {
+		unit.job.claim = claimed
+		for _, seat := range claimed.seats {
+			open.take(seat.node, seat.task.step.need())
+		}
+		return
+	}
+	if unit.tier == tierUrgent {
+		e.makeRoom(unit, open, now)
+	}
+}
+
+// patient reports whether the step still waits for its best rack.
+func (e *Engine) patient(unit *unit, now time.Time) bool {
+	patience := time.Duration(rackPatience * float64(e.runtime(unit.job, unit.tasks[0].key.Step)))
+	if unit.tier == tierUrgent {
+		patience = min(patience, urgentPatience)
+	}
+	return now.Sub(unit.step.readyAt) < patience
+}
+
+func (e *Engine) seat(unit *unit, seats []seat, open *view, now time.Time) {
+	number := 0
+	if unit.step.spec.Gang {
+		for _, task := range unit.step.tasks {
+			number = max(number, task.lastRun)
+		}
+		number++
+	}
+	for _, seat := range seats {
+		given := number
+		if given == 0 {
+			given = seat.task.lastRun + 1
+		}
+		open.take(seat.node, unit.step.need())
+		e.bind(seat.task, seat.node, given)
+	}
+	e.note("placed", unit.job, seats[0].node.entry.ID, "step "+strconv.Itoa(seats[0].task.key.Step)+
+		" tasks "+strconv.Itoa(len(seats))+" of "+strconv.Itoa(len(unit.step.tasks))+
+		" tier "+strconv.Itoa(int(unit.tier))+" waited_ms "+strconv.FormatInt(now.Sub(unit.step.readyAt).Milliseconds(), 10))
+}
--- /dev/null
+++ b/placing/rank.go
@@ -0,0 +1,206 @@
+package placing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// tier is the first key of the order in which waiting work is placed.
+type tier int
+
+const (
+	tierUrgent   tier = iota // priority 0, while finishing is still worth something
+	tierOnTime               // can still finish within its objective
+	tierLate                 // can still finish within three times its objective
+	tierHopeless             // served when there is room
+)
+
+const (
+	// lateFactor times the objective is when a job stops being worth anything
+	// to its caller, as the users state it.
+	lateFactor = 3
+	// acceleratorCores is what an accelerator counts in cores, as the users
+	// price it.
+	acceleratorCores = 8
+	// baseWorth and workWorth make a job's value: a part that each job has, and
+	// a part that grows with its work against the mean of its queue.
+	baseWorth = 0.3
+	workWorth = 0.7
+	// mostWorth bounds the value of the largest jobs.
+	mostWorth = 4.0
+)
+
+// unit is what is placed as a whole: a gang, or the waiting tasks of a step,
+// of which each may start alone.
+type unit struct {
+	job        *job
+	occurrence *occurrence
+	step       *step
+	tasks      []*task // without a run and not done
+	tier       tier
+	density    float64 // value for each core-second that it still takes
+	deadline   time.Time
+}
+
+// cores is what resources count in cores.
+func cores(need jobs.Resources) float64 {
+	return float64(need.MilliCores)/1000 + acceleratorCores*float64(need.Accelerators)
+}
+
+// work is the core-seconds that an occurrence takes, all of it or what is left.
+func (e *Engine) work(job *job, occurrence *occurrence, left bool) float64 {
+	total := 0.0
+	for index := range job.submission.Steps {
+		count := job.submission.Steps[index].Tasks
+		if left {
+			count = occurrence.steps[index].left
+		}
+		total += float64(count) * cores(job.submission.Steps[index].Need) * e.runtime(job, index).Seconds()
+	}
+	return total
+}
+
+// objective is the time within which an occurrence is to be finished.
+func (e *Engine) objective(job *job, occurrence *occurrence) time.Duration {
+	stretched := time.Duration(job.queue.Stretch * float64(e.chain(job, occurrence, false)))
+	return stretched + time.Duration(job.queue.TargetMS)*time.Millisecond
+}
+
+// begin is the moment from which an occurrence's time counts.
+func (e *Engine) begin(job *job, occurrence *occurrence) time.Time {
+	if occurrence.dueMS == 0 {
+		return job.acceptedAt
+	}
+	return job.acceptedAt.Add(time.Duration(occurrence.dueMS-job.firstMS) * time.Millisecond)
+}
+
+// waiting returns the units whose turn has come, in the order in which they
+// are to be placed.
+func (e *Engine) waiting(now time.Time) []*unit {
+	var units []*unit
+	nowMS := e.wallMS(now)
+	for _, job := range e.active {
+		if job.state.Final() {
+			continue
+		}
+		for _, occurrence := range job.runs {
+			if occurrence.left > 0 && nowMS >= occurrence.dueMS {
+				units = e.appendUnits(units, job, occurrence, now)
+			}
+		}
+	}
+	sort.SliceStable(units, func(a, b int) bool { return before(units[a], units[b]) })
+	return units
+}
+
+func before(a, b *unit) bool {
+	if a.tier != b.tier {
+		return a.tier < b.tier
+	}
+	if a.density != b.density {
+		return a.density > b.density
+	}
+	return a.deadline.Before(b.deadline)
+}
+
+func (e *Engine) appendUnits(units []*unit, job *job, occurrence *occurrence, now time.Time) []*unit {
+	var ranked *unit
+	for _, step := range occurrence.steps {
+		if step.left == 0 || !step.ready(occurrence) {
+			continue
+		}
+		if step.readyAt.IsZero() {
+			step.readyAt = now
+		}
+		tasks := step.free()
+		if len(tasks) == 0 {
+			continue
+		}
+		if ranked == nil {
+			ranked = e.rank(job, occurrence, now)
+		}
+		made := *ranked
+		made.step = step
+		made.tasks = tasks
+		units = append(units, &made)
+	}
+	return units
+}
+
+// free returns the tasks that can be placed now: of a gang all or none.
+func (s *step) free() []*task {
+	var list []*task
+	for _, task := range s.tasks {
+		if task.done {
+			continue
+		}
+		if task.run == nil {
+			list = append(list, task)
+		} else if s.spec.Gang {
+			return nil
+		}
+	}
+	return list
+}
+
+func (e *Engine) rank(job *job, occurrence *occurrence, now time.Time) *unit {
+	objective := e.objective(job, occurrence)
+	begin := e.begin(job, occurrence)
+	finish := now.Add(e.chain(job, occurrence, true))
+	made := &unit{job: job, occurrence: occurrence, deadline: begin.Add(objective)}
+	onTime := !finish.After(begin.Add(objective))
+	late := !finish.After(begin.Add(lateFactor * objective))
+	switch {
+	case job.queue.Priority == 0 && late:
+		made.tier = tierUrgent
+	case onTime:
+		made.tier = tierOnTime
+	case late:
+		made.tier = tierLate
+	default:
+		made.tier = tierHopeless
+	}
+	made.density = e.density(job, occurrence)
+	return made
+}
+
+// density is the value of finishing an occurrence for each core-second that is
+// left of it. The weight halves with each step of priority.
+func (e *Engine) density(job *job, occurrence *occurrence) float64 {
+	whole := e.work(job, occurrence, false)
+	left := max(1, e.work(job, occurrence, true))
+	mean := e.meanWork(job, whole)
+	value := min(mostWorth, baseWorth+workWorth*whole/mean)
+	weight := 1.0
+	for range job.queue.Priority {
+		weight /= 2
+	}
+	return weight * value / left
+}
+
+// meanWork is the mean work of the active jobs of a queue.
+func (e *Engine) meanWork(job *job, own float64) float64 {
+	known := e.sizes[job.queue.Name]
+	if known == nil || known.count == 0 {
+		return max(1, own)
+	}
+	return max(1, known.sum/float64(known.count))
+}
+
+// sizes sums up the work of a queue's jobs, as submitted.
+type sizes struct {
+	sum   float64
+	count int
+}
+
+func (e *Engine) measure(job *job) {
+	known := e.sizes[job.queue.Name]
+	if known == nil {
+		known = &sizes{}
+		e.sizes[job.queue.Name] = known
+	}
+	known.sum += e.work(job, job.runs[0], false)
+	known.count++
+}
