--- a/jobs/record.go
+++ b/jobs/record.go
@@ -29,6 +29,7 @@
 	Run        int    `json:"r"`           // highest run that was placed
 	Done       bool   `json:"d,omitempty"` // ended as done
 	Failed     int    `json:"f,omitempty"` // runs ended as failed
+	Judged     int    `json:"j,omitempty"` // highest run whose end was taken in
 	Worker     string `json:"w,omitempty"` // where Run may be; empty once it is over
 	Checkpoint string `json:"k,omitempty"` // newest saved state
 }
--- /dev/null
+++ b/placing/engine_test.go
@@ -0,0 +1,86 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+var testLimits = Limits{
+	Lease:        6 * time.Second,
+	StopWithin:   900 * time.Millisecond,
+	GangWait:     3 * time.Second,
+	Reclaim:      3 * time.Second,
+	KeepEnded:    120 * time.Second,
+	RemoteFactor: 3,
+	HolderGone:   9 * time.Second,
+}
+
+var testStart = time.Unix(1_000_000, 0)
+
+func testEngine(epoch int64) *Engine {
+	return New(testLimits, epoch, func(at time.Time) int64 { return at.UnixMilli() })
+}
+
+func testWorker(id, rack string) WorkerEntry {
+	return WorkerEntry{ID: id, Address: id, Pool: "pool", Kind: "a", Rack: rack, Labels: []string{"a", rack},
+		Capacity: jobs.Resources{MilliCores: 64000, MemoryMB: 128 << 10, Accelerators: 8}}
+}
+
+func testJob(id string, priority int, steps ...jobs.Step) *jobs.Submission {
+	return &jobs.Submission{
+		ID:        id,
+		Workspace: "manchester",
+		Queue:     jobs.Queue{Name: "queue", Pool: "pool", Priority: priority, MaxAttempts: 2, Stretch: 3, TargetMS: 1000},
+		Steps:     steps,
+	}
+}
+
+func testStep(tasks int, accelerators int64) jobs.Step {
+	return jobs.Step{Tasks: tasks, Need: jobs.Resources{MilliCores: 8000, MemoryMB: 1000, Accelerators: accelerators}, EstimateMS: 4000}
+}
+
+// startAll lets an engine place, write and start what it can.
+func startAll(e *Engine, now time.Time) []Start {
+	e.Decide(now)
+	e.Recorded(now)
+	starts := e.Decide(now).Starts
+	for _, start := range starts {
+		e.StartAnswered(start.Worker, start.Task, start.Run, StartAccepted, now)
+	}
+	return starts
+}
+
+// A worker lists an end until it is acknowledged. If the term passes on after
+// the end was written and before it was acknowledged, the next holder meets it
+// again, and must not count the failure twice.
+func TestFailureListedAgainAfterTakeOverCountsOnce(t *testing.T) {
+	is := is.New(t)
+	submission := testJob("0000000000000001", 1, testStep(1, 1))
+	first := testEngine(1)
+	first.Load([]*jobs.Job{{Submission: submission}}, true, testStart)
+	first.List([]WorkerEntry{testWorker("w1", "r1-1")}, testStart)
+	first.Report("w1", testStart, nil, nil, time.Time{}, testStart)
+	starts := startAll(first, testStart)
+	is.Equal(len(starts), 1)
+	later := testStart.Add(time.Second)
+	ended := []EndedTask{{Number: 1, Task: starts[0].Task, Run: 1, How: EndFailed}}
+	first.Report(starts[0].Worker, later, nil, ended, time.Time{}, later)
+	plan := first.Decide(later)
+
+	table := jobs.NewTable()
+	record, err := jobs.SubmissionRecord(submission)
+	is.NoErr(err)
+	for offset, written := range append([]jobs.Record{record}, plan.Records...) {
+		_, err := table.Apply(written, int64(offset))
+		is.NoErr(err)
+	}
+	second := testEngine(2)
+	second.Load(table.All(), true, later)
+	second.List([]WorkerEntry{testWorker("w1", "r1-1")}, later)
+	second.Report(starts[0].Worker, later, nil, ended, time.Time{}, later)
+	is.Equal(second.jobs[submission.ID].state, jobs.StateRunning) // one failure of two allowed
+}
--- a/placing/job.go
+++ b/placing/job.go
@@ -47,6 +47,7 @@
 	done       bool
 	failed     int // runs that ended as failed
 	lastRun    int // highest run number given
+	judged     int // highest run whose end was taken in; it is listed until acknowledged
 	checkpoint string
 	run        *run // nil unless a run may exist
 	avoid      string
@@ -150,6 +151,7 @@
 			Run:        task.lastRun,
 			Done:       task.done,
 			Failed:     task.failed,
+			Judged:     task.judged,
 		}
 		if !task.done {
 			kept.Checkpoint = task.checkpoint
@@ -183,6 +185,7 @@
 		}
 		task.lastRun = kept.Run
 		task.failed = kept.Failed
+		task.judged = kept.Judged
 		task.checkpoint = kept.Checkpoint
 		if kept.Done {
 			e.markDone(task)
--- a/placing/report.go
+++ b/placing/report.go
@@ -146,9 +146,6 @@
 		return
 	}
 	task.lastRun = max(task.lastRun, end.Run)
-	if end.Checkpoint != "" && !task.done && (run == nil || run == task.run) {
-		e.keepCheckpoint(task, end.Checkpoint)
-	}
 	e.judge(known, run, end, now)
 	e.settleEnd(job, task, run, end, now)
 	if run != nil {
@@ -159,13 +156,17 @@
 }
 
 func (e *Engine) settleEnd(job *job, task *task, run *run, end EndedTask, now time.Time) {
-	if job.state.Final() || task.done {
+	if job.state.Final() || task.done || end.Run <= task.judged {
 		return
 	}
 	counts := run != nil && run == task.run || run == nil && task.run == nil
 	if !counts {
 		return
 	}
+	task.judged = end.Run
+	if end.Checkpoint != "" {
+		e.keepCheckpoint(task, end.Checkpoint)
+	}
 	switch end.How {
 	case EndDone:
 		e.taskDone(job, task, now)
@@ -201,6 +202,7 @@
 	}
 	if task.step.spec.Gang {
 		for _, member := range task.step.tasks {
+			member.judged = end.Run // the others' ends say the same of this run
 			member.failed++
 			member.avoid = end.workerOf(task)
 		}
