The term passes on after 1.4 s of silence that reads have witnessed

Ruled out: claims racing; the store's fence settles them in one append. Change: renewal each 350 ms, silence of 1.4 s counted up to the newest answered read, reads of the log wait 0.6 s.

--- a/batch/election.go
+++ b/batch/election.go
@@ -9,10 +9,11 @@
 
 const (
 	// renewEvery is how often the holder of the term writes.
-	renewEvery = 500 * time.Millisecond
+	renewEvery = 350 * time.Millisecond
 	// termSilence is how long the holder may write nothing before another
-	// instance claims the term: four renewals, of which some may be slow.
-	termSilence = 2 * time.Second
+	// instance claims the term: four renewals, or two while the store takes
+	// 0.3 s for each.
+	termSilence = 1400 * time.Millisecond
 	// claimAgain is the pause between an instance's claims, longer than an
 	// append takes while the store is slow.
 	claimAgain = 700 * time.Millisecond
@@ -49,19 +50,21 @@
 	}
 }
 
-// away says that the store does not answer; silence does not count then.
-func (e *election) away(now time.Time) { e.changedAt = now }
+// lost says that what was known of the holder is out of date: the store was
+// away, or this process led meanwhile.
+func (e *election) lost() { e.changedAt = time.Time{} }
 
 // held reports whether the log names this process as the holder.
 func (e *election) held() bool { return e.term.Holder == e.holder }
 
 // claim reports whether to claim the next term now. It is asked only while
-// this process does not lead.
-func (e *election) claim(now time.Time) bool {
+// this process does not lead. heardAt is when the newest read of the log was
+// answered: only until then is silence known to be the holder's.
+func (e *election) claim(heardAt, now time.Time) bool {
 	if now.Sub(e.claimedAt) < claimAgain {
 		return false
 	}
-	if !e.vacant(now) {
+	if !e.vacant(heardAt) {
 		return false
 	}
 	e.claimedAt = now
@@ -70,8 +73,8 @@
 
 // vacant reports whether nobody holds the term: it was handed over, its holder
 // was an earlier life of this instance, or it is silent.
-func (e *election) vacant(now time.Time) bool {
-	silent := now.Sub(e.changedAt)
+func (e *election) vacant(heardAt time.Time) bool {
+	silent := heardAt.Sub(e.changedAt)
 	if e.term.Holder == "" {
 		return silent >= e.rank
 	}
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -19,8 +19,9 @@
 	// contactStale is how long after its last answer the store counts as away;
 	// reads wait pollWait at most, and take up to 0.3 s when it is slow.
 	contactStale = 2200 * time.Millisecond
-	// pollWait is how long a read waits for a record.
-	pollWait = time.Second
+	// pollWait is how long a read waits for a record. A silent holder of the
+	// term is noticed at the end of such a wait.
+	pollWait = 600 * time.Millisecond
 )
 
 // follower keeps up with one stream: the newest record of each key, then the
@@ -38,6 +39,7 @@
 	next    int64
 	loaded  bool
 	contact time.Time // when the last answered read was sent
+	heard   time.Time // when it was answered
 	failing bool
 }
 
@@ -133,6 +135,7 @@
 		f.log.WithField("stream", string(f.stream)).Info("store_regained")
 	}
 	f.failing = false
+	f.heard = f.clock.Now()
 	if sent.After(f.contact) {
 		f.contact = sent
 	}
@@ -166,6 +169,13 @@
 	return f.loaded && f.clock.Now().Sub(f.contact) < contactStale
 }
 
+// heardAt is when the newest read was answered.
+func (f *follower) heardAt() time.Time {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.heard
+}
+
 // workFold is the fold of the work stream with those who wait for it.
 type workFold struct {
 	table    *jobs.Table
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -351,7 +351,7 @@
 		}
 		now := i.clock.Now()
 		if !i.work.inContact() || i.Config() == nil {
-			vote.away(now)
+			vote.lost()
 			continue
 		}
 		before := vote.term
@@ -359,11 +359,11 @@
 		if vote.held() && vote.term.Epoch == i.claimed.Epoch {
 			handedOver := before.Holder == "" && before.Epoch == vote.term.Epoch-1
 			i.lead(ctx, vote.term, i.claimSequence, handedOver)
-			vote.away(i.clock.Now())
+			vote.lost()
 			i.claimed = jobs.Term{}
 			continue
 		}
-		if vote.claim(now) {
+		if vote.claim(i.work.heardAt(), now) {
 			i.claimTerm(ctx, vote.term)
 		}
 	}
