Urgent gangs wait for the rack in which room is being made

Ruled out: slow workers; the placements name workers of several racks. Change: a gang with room set aside takes no other, and an urgent one spreads after 0.4 of the reclaim time.

--- a/placing/place.go
+++ b/placing/place.go
@@ -12,9 +12,9 @@
 	// share of its expected run time: away from it, it takes three times as
 	// long, so waiting up to its own run time is the better choice.
 	rackPatience = 1.0
-	// urgentPatience replaces it for urgent steps, which must have begun within
-	// the reclaim time.
-	urgentPatience = 300 * time.Millisecond
+	// urgentShare of the reclaim time replaces it for urgent steps, which must
+	// have begun within all of it, and of which some must be stopped for.
+	urgentShare = 0.4
 )
 
 // place seats waiting work and, for urgent work that finds no room, makes room.
@@ -64,12 +64,13 @@
 		}
 		unit.job.claim = nil
 	}
-	seats := open.fit(unit, e.patient(unit, now))
+	held := claimed != nil && claimed.step == unit.step && now.Before(claimed.until)
+	seats := open.fit(unit, held || e.patient(unit, now))
 	if len(seats) > 0 {
 		e.seat(unit, seats, open, now)
 		return
 	}
-	if claimed != nil && claimed.step == unit.step && now.Before(claimed.until) {
+	if held {
 		unit.job.claim = claimed
 		for _, seat := range claimed.seats {
 			open.take(seat.node, seat.task.step.need())
@@ -85,7 +86,7 @@
 func (e *Engine) patient(unit *unit, now time.Time) bool {
 	patience := time.Duration(rackPatience * float64(e.runtime(unit.job, unit.tasks[0].key.Step)))
 	if unit.tier == tierUrgent {
-		patience = min(patience, urgentPatience)
+		patience = min(patience, time.Duration(urgentShare*float64(e.limits.Reclaim)))
 	}
 	return now.Sub(unit.step.readyAt) < patience
 }
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -45,7 +45,7 @@
 		return
 	}
 	chosen, seats := e.choose(unit, coming.copy(), true, now)
-	if seats == nil {
+	if seats == nil && !e.patient(unit, now) {
 		chosen, seats = e.choose(unit, coming, false, now)
 	}
 	if seats == nil {
