Callers' records and progress lie in parts of their own; waits learned from the store

Ruled out: reads (they are not serialized). Change: three parts for callers' records, by instance, one for the placing instance; a try lasts four times the usual answer, doubled after each lost one; what waits behind a stuck append is refused at once, as it was not sent. A final state the placing instance wrote goes before a cancellation, since offsets of two parts do not compare.

--- a/batch/commit.go
+++ b/batch/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
@@ -10,47 +11,82 @@
 )
 
 const (
+	// progressPart is the part of the work stream that the placing instance
+	// writes.
+	progressPart = 0
+	// callParts is the number of parts for what callers hand in, if the store
+	// has so many: each is one more long read in every instance, and one more
+	// append at a time when the store is slow.
+	callParts = 3
 	// commitRing bounds the records that wait to be appended; with groups of
 	// up to commitGroup at 4 ms each, a full ring is half a second of work.
 	commitRing  = 512
 	commitGroup = 64
-	// commitTimeout is how long an append of submissions may take: 4 ms as a
-	// rule, 0.3 s while the store is slow, and some waiting in its queue.
-	commitTimeout = 800 * time.Millisecond
 	// commitTries is how often a group is sent; its records are harmless when
 	// written twice.
 	commitTries = 3
+	// commitStuck is how old the append on its way may be before new records
+	// are refused at once, as they would wait behind it.
+	commitStuck = 1200 * time.Millisecond
+)
+
+// partOf is the part to which an instance writes its callers' records.
+func partOf(hash uint64, parts int) int {
+	if parts < 2 {
+		return progressPart
+	}
+	return 1 + int(hash%uint64(min(callParts, parts-1)))
+}
+
+// States of a commit.
+const (
+	commitWaiting int32 = iota
+	commitTaken         // by the duty that appends
+	commitGivenUp       // by its caller, before it was taken
 )
 
 // commit is a record on its way to the log.
 type commit struct {
 	record jobs.Record
+	state  atomic.Int32
 	result chan error // nil, ErrNotDone or ErrUnknown; buffered
 }
 
 // committer appends the records of this instance's callers in groups.
 type committer struct {
-	store Store
-	ring  *ring.Ring[*commit]
+	store    Store
+	clock    *Clock
+	part     int
+	ring     *ring.Ring[*commit]
+	patience patience
+	sentAt   atomic.Int64 // steady nanoseconds of the append on its way; 0 for none
 }
 
-func newCommitter(store Store) *committer {
-	return &committer{store: store, ring: ring.New[*commit](commitRing)}
+func newCommitter(store Store, clock *Clock, part int) *committer {
+	return &committer{store: store, clock: clock, part: part, ring: ring.New[*commit](commitRing)}
 }
 
 // write appends a record and waits for its fate. ErrNotDone says that it never
 // takes effect; ErrUnknown that it may.
 func (c *committer) write(ctx context.Context, record jobs.Record) error {
 	made := &commit{record: record, result: make(chan error, 1)}
-	if !c.ring.Offer(made) {
+	if c.stuck() || !c.ring.Offer(made) {
 		return ErrNotDone
 	}
 	select {
 	case err := <-made.result:
 		return err
 	case <-ctx.Done():
-		return ErrUnknown
 	}
+	if made.state.CompareAndSwap(commitWaiting, commitGivenUp) {
+		return ErrNotDone
+	}
+	return ErrUnknown
+}
+
+func (c *committer) stuck() bool {
+	sent := c.sentAt.Load()
+	return sent != 0 && c.clock.Now().UnixNano()-sent > int64(commitStuck)
 }
 
 func (c *committer) run(ctx context.Context) {
@@ -59,21 +95,35 @@
 		if !ok {
 			return
 		}
-		group := []*commit{first}
-		for len(group) < commitGroup {
-			next, waiting := c.ring.TryTake()
-			if !waiting {
-				break
-			}
-			group = append(group, next)
+		group := c.gather(first)
+		if len(group) == 0 {
+			continue
 		}
+		c.sentAt.Store(c.clock.Now().UnixNano())
 		err := c.append(ctx, group)
+		c.sentAt.Store(0)
 		for _, member := range group {
 			member.result <- err
 		}
 	}
 }
 
+// gather takes what waits, but for what its callers have given up.
+func (c *committer) gather(first *commit) []*commit {
+	var group []*commit
+	next, waiting := first, true
+	for waiting {
+		if next.state.CompareAndSwap(commitWaiting, commitTaken) {
+			group = append(group, next)
+		}
+		if len(group) == commitGroup {
+			break
+		}
+		next, waiting = c.ring.TryTake()
+	}
+	return group
+}
+
 // append sends a group until its fate is known or the tries are used up. Once a
 // try went unanswered, later refusals do not make the group undone.
 func (c *committer) append(ctx context.Context, group []*commit) error {
@@ -96,8 +146,14 @@
 }
 
 func (c *committer) try(ctx context.Context, records []jobs.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.patience.limit())
 	defer cancel()
-	_, err := c.store.Append(ctx, records, nil)
+	sent := c.clock.Now()
+	err := c.store.Append(ctx, c.part, records, nil)
+	if errors.Is(err, ErrUnknown) {
+		c.patience.lost()
+		return err
+	}
+	c.patience.answered(c.clock.Now().Sub(sent))
 	return err
 }
--- a/batch/election.go
+++ b/batch/election.go
@@ -64,7 +64,7 @@
 	if now.Sub(e.claimedAt) < claimAgain {
 		return false
 	}
-	if !e.vacant(heardAt) {
+	if !e.vacant(heardAt, now) {
 		return false
 	}
 	e.claimedAt = now
@@ -73,10 +73,10 @@
 
 // vacant reports whether nobody holds the term: it was handed over, its holder
 // was an earlier life of this instance, or it is silent.
-func (e *election) vacant(heardAt time.Time) bool {
+func (e *election) vacant(heardAt, now time.Time) bool {
 	silent := heardAt.Sub(e.changedAt)
 	if e.term.Holder == "" {
-		return silent >= e.rank
+		return now.Sub(e.changedAt) >= e.rank
 	}
 	name, _, _ := strings.Cut(e.term.Holder, "/")
 	if name == e.name {
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,11 +18,13 @@
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
 	// contactStale is how long after its last answer the store counts as away;
-	// reads wait pollWait at most, and take up to 0.3 s when it is slow.
+	// reads wait progressWait at most, and take up to 0.3 s when it is slow.
 	contactStale = 2200 * time.Millisecond
-	// pollWait is how long a read waits for a record. A silent holder of the
-	// term is noticed at the end of such a wait.
-	pollWait = 600 * time.Millisecond
+	// progressWait is how long a read waits for a record where the holder of the
+	// term writes. A silent holder is noticed at the end of such a wait.
+	progressWait = 600 * time.Millisecond
+	// quietWait is the same where only callers or operators write.
+	quietWait = 5 * time.Second
 )
 
 // follower keeps up with one stream: the newest record of each key, then the
@@ -29,13 +32,15 @@
 type follower struct {
 	store  Store
 	stream Stream
+	part   int
 	log    *logrus.Entry
 	clock  *Clock
 	apply  func(Batch)          // called in order, under lock
 	reset  func()               // called before newest records are read again
 	gap    func() time.Duration // pause after a read that brought records
+	wait   time.Duration        // how long a read may wait for one
 
-	lock    sync.Mutex // held while records are applied
+	lock    *sync.Mutex // held while records are applied; may be shared
 	next    int64
 	loaded  bool
 	contact time.Time // when the last answered read was sent
@@ -64,7 +69,7 @@
 		return f.load(ctx)
 	}
 	sent := f.clock.Now()
-	batch, err := f.store.Read(ctx, f.stream, f.position(), pollWait)
+	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), f.wait)
 	if errors.Is(err, ErrForgotten) {
 		f.log.WithField("stream", string(f.stream)).Info("history_forgotten")
 		return f.load(ctx)
@@ -83,7 +88,7 @@
 // was noted before the first page.
 func (f *follower) load(ctx context.Context) error {
 	sent := f.clock.Now()
-	batch, err := f.store.Newest(ctx, f.stream)
+	batch, err := f.store.Newest(ctx, f.stream, f.part)
 	if err != nil {
 		return err
 	}
@@ -122,7 +127,7 @@
 // fold misses nothing of it.
 func (f *follower) refresh(ctx context.Context) error {
 	sent := f.clock.Now()
-	batch, err := f.store.Read(ctx, f.stream, f.position(), 0)
+	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), 0)
 	if err != nil {
 		return err
 	}
@@ -181,7 +186,7 @@
 	table    *jobs.Table
 	log      *logrus.Entry
 	dirty    map[string]bool // jobs that changed since the placing duty last looked
-	watching bool            // a placing duty looks at dirty
+	watching atomic.Bool     // a placing duty looks at dirty
 	signal   chan struct{}
 }
 
@@ -189,14 +194,14 @@
 	return &workFold{table: jobs.NewTable(), log: log, dirty: map[string]bool{}, signal: make(chan struct{}, 1)}
 }
 
-func (w *workFold) apply(batch Batch) {
+func (w *workFold) apply(part int, batch Batch) {
 	for index, record := range batch.Records {
-		change, err := w.table.Apply(record, batch.Offsets[index])
+		change, err := w.table.Apply(record, part, batch.Offsets[index])
 		if err != nil {
 			w.log.WithField("error", err.Error()).Error("record_unreadable")
 			continue
 		}
-		if change.Job != "" && w.watching {
+		if change.Job != "" && w.watching.Load() {
 			w.dirty[change.Job] = true
 		}
 	}
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +45,10 @@
 	config        atomic.Pointer[Config]
 	configChanged atomic.Bool
 	operator      *follower
-	work          *follower
+	work          *follower   // of the part that the placing instance writes
+	calls         []*follower // of the parts that callers' records go to
 	fold          *workFold
+	foldLock      sync.Mutex
 	committer     *committer
 
 	draining      atomic.Bool
@@ -71,22 +74,38 @@
 		handOver: make(chan struct{}),
 	}
 	i.fold = newWorkFold(log)
-	i.committer = newCommitter(store)
-	i.operator = i.newFollower(StreamOperator, i.applyConfig, func() time.Duration { return configPause })
-	i.work = i.newFollower(StreamWork, i.fold.apply, i.workPause)
+	i.committer = newCommitter(store, i.clock, partOf(i.nameHash, settings.StoreParts))
+	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, quietWait)
+	i.operator.apply = i.applyConfig
+	i.operator.gap = func() time.Duration { return configPause }
+	i.work = i.newWorkFollower(progressPart, progressWait)
+	for part := 1; part <= min(callParts, settings.StoreParts-1); part++ {
+		i.calls = append(i.calls, i.newWorkFollower(part, quietWait))
+	}
 	i.kernel.AddDuty("configuration", i.operator.run)
 	i.kernel.AddDuty("work", i.work.run)
+	for _, calls := range i.calls {
+		i.kernel.AddDuty("calls", calls.run)
+	}
 	i.kernel.AddDuty("commit", i.committer.run)
 	i.kernel.AddDuty("placing", i.placingDuty)
 	return i
 }
 
-func (i *Instance) newFollower(stream Stream, apply func(Batch), gap func() time.Duration) *follower {
-	return &follower{store: i.store, stream: stream, log: i.log, clock: i.clock, apply: apply, gap: gap}
+func (i *Instance) newFollower(stream Stream, part int, lock *sync.Mutex, wait time.Duration) *follower {
+	return &follower{store: i.store, stream: stream, part: part, log: i.log, clock: i.clock, lock: lock, wait: wait}
+}
+
+// newWorkFollower follows one part of the work stream; all share one fold.
+func (i *Instance) newWorkFollower(part int, wait time.Duration) *follower {
+	made := i.newFollower(StreamWork, part, &i.foldLock, wait)
+	made.apply = func(batch Batch) { i.fold.apply(part, batch) }
+	made.gap = i.workPause
+	return made
 }
 
 func (i *Instance) workPause() time.Duration {
-	if i.fold.watching {
+	if i.fold.watching.Load() {
 		return holderPause
 	}
 	return standbyPause
@@ -135,7 +154,7 @@
 
 // Ready reports whether callers should be sent here.
 func (i *Instance) Ready() bool {
-	return i.Config() != nil && i.work.inContact() && !i.draining.Load()
+	return i.Config() != nil && i.loaded() && i.work.inContact() && !i.draining.Load()
 }
 
 // Draining reports whether the instance is about to end.
@@ -160,13 +179,42 @@
 }
 
 func (i *Instance) term() jobs.Term {
-	i.work.lock.Lock()
-	defer i.work.lock.Unlock()
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
 	return i.fold.table.Term()
 }
 
-func (i *Instance) refreshWork(ctx context.Context) {
+// loaded reports whether the whole fold was read once.
+func (i *Instance) loaded() bool {
+	for _, calls := range i.calls {
+		if !calls.isLoaded() {
+			return false
+		}
+	}
+	return i.work.isLoaded()
+}
+
+// refreshTerm reads what the last claim brought.
+func (i *Instance) refreshTerm(ctx context.Context) {
 	if err := i.work.refresh(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		i.log.WithField("error", err.Error()).Debug("refresh_failed")
 	}
 }
+
+// refreshCalls reads all that callers have written by now, at any instance.
+func (i *Instance) refreshCalls(ctx context.Context) error {
+	if len(i.calls) == 0 {
+		return i.work.refresh(ctx)
+	}
+	results := make(chan error, len(i.calls))
+	for _, calls := range i.calls {
+		go func() { results <- calls.refresh(ctx) }()
+	}
+	var failed error
+	for range i.calls {
+		if err := <-results; err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -90,9 +90,9 @@
 // load gives the engine the fold as it is, and from then on what changes.
 func (l *leader) load(handedOver bool) {
 	i := l.instance
-	i.work.lock.Lock()
-	defer i.work.lock.Unlock()
-	i.fold.watching = true
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
+	i.fold.watching.Store(true)
 	clear(i.fold.dirty)
 	l.configure()
 	l.engine.Load(i.fold.table.All(), handedOver, l.clock.Now())
@@ -111,15 +111,11 @@
 }
 
 func (l *leader) newList() *follower {
-	return &follower{
-		store:  l.instance.store,
-		stream: StreamWorkers,
-		log:    l.log,
-		clock:  l.clock,
-		apply:  l.applyList,
-		reset:  func() { clear(l.entries) },
-		gap:    func() time.Duration { return listPause },
-	}
+	made := l.instance.newFollower(StreamWorkers, 0, &sync.Mutex{}, progressWait)
+	made.apply = l.applyList
+	made.reset = func() { clear(l.entries) }
+	made.gap = func() time.Duration { return listPause }
+	return made
 }
 
 func (l *leader) applyList(batch Batch) {
@@ -197,8 +193,8 @@
 // takeChanges passes on what other instances wrote.
 func (l *leader) takeChanges() {
 	i := l.instance
-	i.work.lock.Lock()
-	defer i.work.lock.Unlock()
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
 	now := l.clock.Now()
 	for id := range i.fold.dirty {
 		job := i.fold.table.Job(id)
@@ -241,9 +237,9 @@
 
 func (l *leader) unwatch() {
 	i := l.instance
-	i.work.lock.Lock()
-	defer i.work.lock.Unlock()
-	i.fold.watching = false
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
+	i.fold.watching.Store(false)
 	clear(i.fold.dirty)
 }
 
@@ -271,6 +267,9 @@
 	for _, worker := range plan.Forget {
 		l.forget(worker)
 	}
+	if len(plan.Expired) > 0 {
+		l.start(ctx, func(ctx context.Context) { l.expire(ctx, plan.Expired) })
+	}
 }
 
 func (l *leader) sendStart(ctx context.Context, order placing.Start) {
@@ -282,6 +281,41 @@
 	l.start(ctx, func(ctx context.Context) { link.startRun(ctx, order) })
 }
 
+// expire drops the records of jobs whose time of being known is over. What
+// fails is left for a later holder of the term.
+func (l *leader) expire(ctx context.Context, ids []string) {
+	for _, id := range ids {
+		if err := l.expireJob(ctx, id); err != nil {
+			l.log.WithField("job", id).WithField("error", err.Error()).Warn("records_kept")
+		}
+	}
+}
+
+func (l *leader) expireJob(ctx context.Context, id string) error {
+	i := l.instance
+	i.foldLock.Lock()
+	job := i.fold.table.Job(id)
+	i.foldLock.Unlock()
+	if job == nil {
+		return nil
+	}
+	for part := range i.settings.StoreParts {
+		if job.Parts&(1<<part) == 0 {
+			continue
+		}
+		if err := l.drop(ctx, part, jobs.ForgetCallRecords(id)); err != nil {
+			return err
+		}
+	}
+	return l.drop(ctx, progressPart, []jobs.Record{jobs.ForgetProgressRecord(id)})
+}
+
+func (l *leader) drop(ctx context.Context, part int, records []jobs.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, patienceMost)
+	defer cancel()
+	return l.instance.store.Append(ctx, part, records, nil)
+}
+
 func (l *leader) logNote(note placing.Note) {
 	entry := l.log
 	if note.Job != "" {
@@ -323,10 +357,10 @@
 	ctx, cancel := context.WithTimeout(ctx, claimAgain)
 	defer cancel()
 	fence := &Fence{Epoch: i.claimed.Epoch, Sequence: i.claimSequence}
-	_, err = i.store.Append(ctx, []jobs.Record{record}, fence)
+	err = i.store.Append(ctx, progressPart, []jobs.Record{record}, fence)
 	i.log.WithField("epoch", i.claimed.Epoch).WithField("former", current.Holder).WithField("result", errorText(err)).Info("term_claimed")
 	if err == nil {
-		i.refreshWork(ctx)
+		i.refreshTerm(ctx)
 	}
 }
 
@@ -350,7 +384,7 @@
 			continue
 		}
 		now := i.clock.Now()
-		if !i.work.inContact() || i.Config() == nil {
+		if !i.loaded() || !i.work.inContact() || i.Config() == nil {
 			vote.lost()
 			continue
 		}
--- a/batch/outside.go
+++ b/batch/outside.go
@@ -25,7 +25,9 @@
 // Stream names a stream of keyed records.
 type Stream string
 
-// Streams that an instance reads. It writes to StreamWork alone.
+// Streams that an instance reads. It writes to StreamWork alone, which has
+// several parts: the store works on one append of a part at a time, so those
+// of callers and those of the placing instance must not wait for each other.
 const (
 	StreamWork     Stream = "work"     // submissions, cancellations, progress, the term
 	StreamOperator Stream = "operator" // the operators' configuration
@@ -49,15 +51,15 @@
 // Store is the platform's store of keyed records. Its methods may be called by
 // several goroutines; each call ends with its context.
 type Store interface {
-	// Append adds records all or none and returns the first one's offset. A nil
-	// fence sets no condition. Errors: ErrNotDone, ErrUnknown, ErrFenced.
-	Append(ctx context.Context, records []jobs.Record, fence *Fence) (int64, error)
-	// Read returns records of a stream from an offset on, waiting up to wait for
-	// the first. Errors: ErrForgotten, or any failure of the call.
-	Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (Batch, error)
+	// Append adds records to a part of StreamWork, all or none. A nil fence sets
+	// no condition. Errors: ErrNotDone, ErrUnknown, ErrFenced.
+	Append(ctx context.Context, part int, records []jobs.Record, fence *Fence) error
+	// Read returns records of a stream's part from an offset on, waiting up to
+	// wait for the first. Errors: ErrForgotten, or any failure of the call.
+	Read(ctx context.Context, stream Stream, part int, from int64, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of each key. Next is the offset at which
 	// reading must go on, since pages are read while others write.
-	Newest(ctx context.Context, stream Stream) (Batch, error)
+	Newest(ctx context.Context, stream Stream, part int) (Batch, error)
 }
 
 // Decoder turns the records of outside streams into values.
--- a/batch/serve.go
+++ b/batch/serve.go
@@ -31,6 +31,9 @@
 	// retryAway is told while the store does not answer here: outages last
 	// seconds, and other instances may be in touch with it.
 	retryAway = time.Second
+	// lookTimeout bounds the reading of the log before a job is denied: reads
+	// take milliseconds, and 0.3 s while the store is slow.
+	lookTimeout = 800 * time.Millisecond
 	// retryFull is told when too many records wait to be written.
 	retryFull = time.Second
 )
@@ -48,7 +51,7 @@
 	if i.known(submission.ID) {
 		return Outcome{Verdict: Accepted, Reason: "known"}
 	}
-	if !i.work.inContact() {
+	if !i.loaded() || !i.work.inContact() {
 		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: retryAway}
 	}
 	submission.AcceptedMS = i.clock.WallMS(i.clock.Now())
@@ -104,9 +107,9 @@
 	if state, ok := i.lookUp(id); ok {
 		return state, Outcome{Verdict: Accepted}
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
-	if err := i.work.refresh(ctx); err != nil || !i.work.isLoaded() {
+	if err := i.refreshCalls(ctx); err != nil || !i.loaded() {
 		return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
 	}
 	if state, ok := i.lookUp(id); ok {
@@ -117,8 +120,8 @@
 
 // Waiting counts the accepted jobs of a queue of which nothing has started.
 func (i *Instance) Waiting(queue string) int {
-	i.work.lock.Lock()
-	defer i.work.lock.Unlock()
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
 	return i.fold.table.Waiting(queue)
 }
 
@@ -128,8 +131,8 @@
 }
 
 func (i *Instance) lookUp(id string) (jobs.State, bool) {
-	i.work.lock.Lock()
-	defer i.work.lock.Unlock()
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
 	job := i.fold.table.Job(id)
 	if job == nil {
 		return "", false
--- a/batch/settings.go
+++ b/batch/settings.go
@@ -17,5 +17,6 @@
 	CheckpointEvery  time.Duration
 	Restore          time.Duration // what resuming costs
 	Early            time.Duration // how much before its time a job may start
-	RemoteFactor     float64
+	RemoteFactor     float64       // how much longer a task takes away from its rack
+	StoreParts       int           // parts that a stream of the store has
 }
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// fencedTimeout is how long one try of the holder's append may take: 4 ms
-	// as a rule, 0.3 s while the store is slow.
-	fencedTimeout = 600 * time.Millisecond
 	// fencedPause follows a try that the store refused.
 	fencedPause = 100 * time.Millisecond
 )
@@ -27,6 +24,7 @@
 	groups   chan []jobs.Record
 	waiting  int // groups whose fate is open; used by the leader's loop alone
 	sequence int64
+	patience patience
 
 	lock        sync.Mutex
 	term        jobs.Term
@@ -105,9 +103,15 @@
 }
 
 func (w *fencedWriter) try(ctx context.Context, records []jobs.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, fencedTimeout)
+	ctx, cancel := context.WithTimeout(ctx, w.patience.limit())
 	defer cancel()
-	_, err := w.store.Append(ctx, records, &Fence{Epoch: w.term.Epoch, Sequence: w.sequence})
+	sent := w.leader.clock.Now()
+	err := w.store.Append(ctx, progressPart, records, &Fence{Epoch: w.term.Epoch, Sequence: w.sequence})
+	if errors.Is(err, ErrUnknown) {
+		w.patience.lost()
+		return err
+	}
+	w.patience.answered(w.leader.clock.Now().Sub(sent))
 	return err
 }
 
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -61,12 +61,16 @@
 // CancelRecord returns the record that cancels a job.
 func CancelRecord(id string) Record { return Record{Key: cancelPrefix + id, Value: []byte{'1'}} }
 
-// ForgetRecords returns the records that drop a job, its progress last, so
-// that a second copy of its submission meets the progress while it lies there.
-func ForgetRecords(id string) []Record {
-	return []Record{{Key: submissionPrefix + id}, {Key: cancelPrefix + id}, {Key: progressPrefix + id}}
+// ForgetCallRecords returns the records that drop what callers wrote of a job.
+// They go to every part in which such records lie, before ForgetProgressRecord.
+func ForgetCallRecords(id string) []Record {
+	return []Record{{Key: submissionPrefix + id}, {Key: cancelPrefix + id}}
 }
 
+// ForgetProgressRecord returns the record that drops a job's progress. It comes
+// last, so that a second copy of the submission meets the progress until then.
+func ForgetProgressRecord(id string) Record { return Record{Key: progressPrefix + id} }
+
 func encode(key string, value any) (Record, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -6,16 +6,17 @@
 type Job struct {
 	Submission *Submission // nil while only other records of it were read
 	Progress   *Progress   // nil before the first task was placed
-	Cancelled  bool        // a cancellation is on record, and no earlier final state
-
-	cancelAt   int64 // offset of the cancellation
-	finalAt    int64 // offset of the first final state read
-	acceptedAt int64
-	progressAt int64 // offset of Progress plus one
+	Cancelled  bool        // a cancellation is on record
+	Parts      uint64 // parts of the stream in which records of it were read, a bit each
+	progressAt int64  // offset of Progress plus one
 }
 
-// State is what callers are told.
+// State is what callers are told. A final state that the placing instance has
+// written stands, also if a cancellation came too late for it.
 func (j *Job) State() State {
+	if j.Progress != nil && j.Progress.State.Final() {
+		return j.Progress.State
+	}
 	if j.Cancelled {
 		return StateCancelled
 	}
@@ -55,7 +56,7 @@
 // Len is the number of submitted jobs that are remembered.
 func (t *Table) Len() int { return len(t.jobs) }
 
-// All returns the submitted jobs in the order of their first records.
+// All returns the submitted jobs in the order of their acceptance.
 func (t *Table) All() []*Job {
 	list := make([]*Job, 0, len(t.jobs))
 	for _, job := range t.jobs {
@@ -64,10 +65,11 @@
 		}
 	}
 	sort.Slice(list, func(a, b int) bool {
-		if list[a].acceptedAt != list[b].acceptedAt {
-			return list[a].acceptedAt < list[b].acceptedAt
+		first, second := list[a].Submission, list[b].Submission
+		if first.AcceptedMS != second.AcceptedMS {
+			return first.AcceptedMS < second.AcceptedMS
 		}
-		return list[a].Submission.ID < list[b].Submission.ID
+		return first.ID < second.ID
 	})
 	return list
 }
@@ -83,17 +85,18 @@
 	return count
 }
 
-// Apply folds one record. An error says that the record's value is not one of
-// ours; the fold is then as before.
-func (t *Table) Apply(record Record, offset int64) (Change, error) {
+// Apply folds one record of a part. Offsets count within a part; all progress
+// lies in one. An error says that the record's value is not one of ours; the
+// fold is then as before.
+func (t *Table) Apply(record Record, part int, offset int64) (Change, error) {
 	if record.Key == termKey {
 		return t.applyTerm(record)
 	}
 	if id, ok := subject(record.Key, submissionPrefix); ok {
-		return t.applySubmission(id, record, offset)
+		return t.applySubmission(id, record, part)
 	}
 	if id, ok := subject(record.Key, cancelPrefix); ok {
-		return t.applyCancel(id, record, offset), nil
+		return t.applyCancel(id, record, part), nil
 	}
 	if id, ok := subject(record.Key, progressPrefix); ok {
 		return t.applyProgress(id, record, offset)
@@ -125,7 +128,7 @@
 	return job
 }
 
-func (t *Table) applySubmission(id string, record Record, offset int64) (Change, error) {
+func (t *Table) applySubmission(id string, record Record, part int) (Change, error) {
 	if len(record.Value) == 0 {
 		if job := t.jobs[id]; job != nil && job.Progress == nil {
 			delete(t.jobs, id)
@@ -133,6 +136,7 @@
 		return Change{Job: id}, nil
 	}
 	if known := t.jobs[id]; known != nil && known.Submission != nil {
+		known.Parts |= 1 << part
 		return Change{}, nil
 	}
 	submission, err := decode[Submission](record)
@@ -141,20 +145,17 @@
 	}
 	job := t.job(id)
 	job.Submission = submission
-	job.acceptedAt = offset
+	job.Parts |= 1 << part
 	return Change{Job: id}, nil
 }
 
-func (t *Table) applyCancel(id string, record Record, offset int64) Change {
+func (t *Table) applyCancel(id string, record Record, part int) Change {
 	if len(record.Value) == 0 {
 		return Change{}
 	}
 	job := t.job(id)
-	if job.Cancelled || (job.finalAt > 0 && job.finalAt <= offset) {
-		return Change{}
-	}
+	job.Parts |= 1 << part
 	job.Cancelled = true
-	job.cancelAt = offset
 	return Change{Job: id}
 }
 
@@ -173,18 +174,5 @@
 	job := t.job(id)
 	job.Progress = progress
 	job.progressAt = offset + 1
-	t.settleFinal(job, progress, offset)
 	return Change{Job: id}, nil
 }
-
-// settleFinal decides between a cancellation and another final state by their
-// offsets; pages of newest records bring them in the order of their keys.
-func (t *Table) settleFinal(job *Job, progress *Progress, offset int64) {
-	if !progress.State.Final() || job.finalAt > 0 {
-		return
-	}
-	job.finalAt = offset + 1
-	if job.Cancelled && job.cancelAt > offset && progress.State != StateCancelled {
-		job.Cancelled = false
-	}
-}
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -96,6 +96,7 @@
 	Stops   []Stop           // to be sent
 	Acks    map[string]int64 // by worker: ends that may be forgotten
 	Forget  []string         // workers that need not be watched any more
+	Expired []string         // ended jobs whose records can be dropped
 	Notes   []Note           // what was decided and why
 }
 
@@ -260,13 +261,10 @@
 	for _, id := range e.sortedJobs() {
 		job := e.jobs[id]
 		if job.state.Final() && now.Sub(job.endedAt) > e.limits.KeepEnded+forgetSlack && !job.dirty && !e.inFlight {
-			e.plan.Records = append(e.plan.Records, jobs.ForgetRecords(id)...)
+			e.plan.Expired = append(e.plan.Expired, id)
 			delete(e.jobs, id)
 		}
 	}
-	if len(e.plan.Records) > 0 {
-		e.inFlight = true
-	}
 }
 
 func (e *Engine) sortedJobs() []string {
--- a/placing/engine_test.go
+++ b/placing/engine_test.go
@@ -75,7 +75,7 @@
 	record, err := jobs.SubmissionRecord(submission)
 	is.NoErr(err)
 	for offset, written := range append([]jobs.Record{record}, plan.Records...) {
-		_, err := table.Apply(written, int64(offset))
+		_, err := table.Apply(written, 0, int64(offset))
 		is.NoErr(err)
 	}
 	second := testEngine(2)
