Compact progress: done tasks as bits, ended jobs as their state, read whole by the holder alone

Ruled out: late decisions (done is logged 2.4 s after hand-in at the median). Change: done tasks are bits, the rest short lists, a final record has no tasks and is not rewritten; the state stands first and standbys read no further; members of gangs that end as done get no stops.

--- /dev/null
+++ b/jobs/progress.go
@@ -0,0 +1,116 @@
+package jobs
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// TaskProgress is what lasts of a task that is not done, beyond the placing
+// instance's memory.
+type TaskProgress struct {
+	Flat       int    // number of the task: by occurrence, then step, then index
+	Run        int    // highest run that was placed
+	Failed     int    // runs ended as failed
+	Judged     int    // highest run whose end was taken in
+	Worker     string // where Run may be; empty once it is over
+	Checkpoint string // newest saved state
+}
+
+// MarshalJSON writes a list, as records are written at every change of a job
+// and read by every instance.
+func (t TaskProgress) MarshalJSON() ([]byte, error) {
+	return json.Marshal([...]any{t.Flat, t.Run, t.Failed, t.Judged, t.Worker, t.Checkpoint})
+}
+
+// UnmarshalJSON reads that list.
+func (t *TaskProgress) UnmarshalJSON(encoded []byte) error {
+	fields := [...]any{&t.Flat, &t.Run, &t.Failed, &t.Judged, &t.Worker, &t.Checkpoint}
+	list := fields[:]
+	if err := json.Unmarshal(encoded, &list); err != nil {
+		return err
+	}
+	if len(list) != len(fields) {
+		return eris.New("progress of a task has a wrong number of fields")
+	}
+	return nil
+}
+
+// Progress is what became of a job. Of a job with a final state neither Done
+// nor Tasks is kept.
+type Progress struct {
+	State   State          `json:"-"`
+	Reason  string         `json:"y,omitempty"` // why it failed
+	EndedMS int64          `json:"e,omitempty"` // since 1970, of the final state
+	Done    Bits           `json:"d,omitempty"` // tasks that ended as done
+	Tasks   []TaskProgress `json:"t,omitempty"` // the others, of which a run was placed
+}
+
+// Bits is a set of task numbers.
+type Bits []byte
+
+// Set adds a number.
+func (b *Bits) Set(number int) {
+	for len(*b) <= number/8 {
+		*b = append(*b, 0)
+	}
+	(*b)[number/8] |= 1 << (number % 8)
+}
+
+// Has reports whether a number is in the set.
+func (b Bits) Has(number int) bool {
+	return number/8 < len(b) && b[number/8]&(1<<(number%8)) != 0
+}
+
+// MarshalText writes the set in hexadecimal.
+func (b Bits) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(b)), nil }
+
+// UnmarshalText reads it.
+func (b *Bits) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	*b = decoded
+	return err
+}
+
+// stateLetters stand before the rest of a progress record, so that instances
+// which do not place need not read the rest.
+const stateLetters = "qrdfc"
+
+var statesByLetter = [...]State{StateQueued, StateRunning, StateDone, StateFailed, StateCancelled}
+
+func encodeProgress(p *Progress) ([]byte, error) {
+	rest, err := json.Marshal(p)
+	if err != nil {
+		return nil, err
+	}
+	for index, state := range statesByLetter {
+		if state == p.State {
+			return append([]byte{stateLetters[index]}, rest...), nil
+		}
+	}
+	return nil, eris.Errorf("unknown state %q", p.State)
+}
+
+func progressState(value []byte) (State, error) {
+	if len(value) > 0 {
+		if index := strings.IndexByte(stateLetters, value[0]); index >= 0 {
+			return statesByLetter[index], nil
+		}
+	}
+	return "", eris.New("progress record without a state")
+}
+
+// DecodeProgress reads the value of a progress record.
+func DecodeProgress(value []byte) (*Progress, error) {
+	state, err := progressState(value)
+	if err != nil {
+		return nil, err
+	}
+	progress := &Progress{State: state}
+	if err := json.Unmarshal(value[1:], progress); err != nil {
+		return nil, eris.Wrap(err, "decode progress")
+	}
+	return progress, nil
+}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -21,27 +21,6 @@
 	termKey          = "term"
 )
 
-// TaskProgress is what lasts of a task beyond the placing instance's memory.
-type TaskProgress struct {
-	Occurrence int    `json:"o,omitempty"`
-	Step       int    `json:"s,omitempty"`
-	Index      int    `json:"i,omitempty"`
-	Run        int    `json:"r"`           // highest run that was placed
-	Done       bool   `json:"d,omitempty"` // ended as done
-	Failed     int    `json:"f,omitempty"` // runs ended as failed
-	Judged     int    `json:"j,omitempty"` // highest run whose end was taken in
-	Worker     string `json:"w,omitempty"` // where Run may be; empty once it is over
-	Checkpoint string `json:"k,omitempty"` // newest saved state
-}
-
-// Progress is what became of a job.
-type Progress struct {
-	State   State          `json:"s"`
-	Reason  string         `json:"y,omitempty"` // why it failed
-	EndedMS int64          `json:"e,omitempty"` // since 1970, of the final state
-	Tasks   []TaskProgress `json:"t,omitempty"`
-}
-
 // Term names the placing instance. Epoch fences its orders and its appends.
 type Term struct {
 	Epoch    int64  `json:"e"`
@@ -53,7 +32,13 @@
 func SubmissionRecord(s *Submission) (Record, error) { return encode(submissionPrefix+s.ID, s) }
 
 // ProgressRecord returns the record of a job's progress.
-func ProgressRecord(id string, p *Progress) (Record, error) { return encode(progressPrefix+id, p) }
+func ProgressRecord(id string, p *Progress) (Record, error) {
+	value, err := encodeProgress(p)
+	if err != nil {
+		return Record{}, eris.Wrap(err, "encode progress of "+id)
+	}
+	return Record{Key: progressPrefix + id, Value: value}, nil
+}
 
 // TermRecord returns the record that claims, renews or hands over the term.
 func TermRecord(t Term) (Record, error) { return encode(termKey, t) }
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -5,25 +5,26 @@
 // Job is the folded state of one job.
 type Job struct {
 	Submission *Submission // nil while only other records of it were read
-	Progress   *Progress   // nil before the first task was placed
+	Progress   []byte      // value of the newest progress record; nil before the first task was placed
 	Cancelled  bool        // a cancellation is on record
 	Parts      uint64      // parts of the stream in which records of it were read, a bit each
 	progressAt int64       // offset of Progress plus one
+	state      State       // as Progress says
 }
 
 // State is what callers are told. A final state that the placing instance has
 // written stands, also if a cancellation came too late for it.
 func (j *Job) State() State {
-	if j.Progress != nil && j.Progress.State.Final() {
-		return j.Progress.State
+	if j.state.Final() {
+		return j.state
 	}
 	if j.Cancelled {
 		return StateCancelled
 	}
-	if j.Progress == nil {
+	if j.state == "" {
 		return StateQueued
 	}
-	return j.Progress.State
+	return j.state
 }
 
 // Change says what a record changed.
@@ -167,12 +168,13 @@
 		delete(t.jobs, id)
 		return Change{Job: id}, nil
 	}
-	progress, err := decode[Progress](record)
+	state, err := progressState(record.Value)
 	if err != nil {
 		return Change{}, err
 	}
 	job := t.job(id)
-	job.Progress = progress
+	job.Progress = record.Value
+	job.state = state
 	job.progressAt = offset + 1
 	return Change{Job: id}, nil
 }
--- a/placing/care.go
+++ b/placing/care.go
@@ -10,6 +10,8 @@
 	// stallShare is the share of the expected run time that may pass without
 	// progress, for tasks so long that one part takes longer than stallAfter.
 	stallShare = 0.3
+	// endTogether is how far apart the ends of a gang's members may be listed.
+	endTogether = time.Second
 	// leaveSlack is how long before a worker's leaving its tasks are stopped so
 	// that their saved states arrive.
 	leaveSlack = 500 * time.Millisecond
@@ -22,6 +24,10 @@
 			if run.phase != phaseRunning || run.task.run != run {
 				continue
 			}
+			if e.outlives(run, now) {
+				e.stopRun(run, "job ended", now)
+				continue
+			}
 			if known.entry.Leaving && e.mustLeave(run, now) {
 				e.stopUnit(run, "worker leaving", now)
 				continue
@@ -34,6 +40,13 @@
 	}
 }
 
+// outlives reports whether a run goes on although its job has ended: a gang's
+// members end together, so the others need no order unless they are late.
+func (e *Engine) outlives(run *run, now time.Time) bool {
+	job := run.task.step.job
+	return job.state.Final() && now.Sub(job.endedAt) > endTogether
+}
+
 // stopUnit stops a run and, if it is a gang's, all members.
 func (e *Engine) stopUnit(run *run, why string, now time.Time) {
 	if run.task.step.spec.Gang {
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -142,7 +142,7 @@
 	if e.jobs[id] == nil {
 		job := e.addJob(known.Submission, now)
 		if known.Progress != nil {
-			e.restore(job, known.Progress, e.formerLapse)
+			e.restoreRecord(job, known.Progress)
 		}
 	}
 	if known.Cancelled {
@@ -181,6 +181,9 @@
 	job.claim = nil
 	e.touch(job)
 	e.note("job_ended", job, "", string(state)+" "+reason)
+	if state == jobs.StateDone {
+		return // what still runs are members of gangs that are ending
+	}
 	for _, task := range job.allTasks() {
 		if task.run != nil {
 			e.stopRun(task.run, "job "+string(state), now)
--- a/placing/engine_test.go
+++ b/placing/engine_test.go
@@ -101,10 +101,12 @@
 	later := testStart.Add(time.Second)
 	e.Report("w1", later, nil, []EndedTask{end}, time.Time{}, later)
 	is.Equal(len(e.Decide(later).Acks), 0) // nor may its end be forgotten
-	e.Learn(&jobs.Job{Submission: submission, Progress: &jobs.Progress{
+	record, err := jobs.ProgressRecord(submission.ID, &jobs.Progress{
 		State: jobs.StateRunning,
 		Tasks: []jobs.TaskProgress{{Run: 1, Worker: "w1"}},
-	}}, later)
+	})
+	is.NoErr(err)
+	e.Learn(&jobs.Job{Submission: submission, Progress: record.Value}, later)
 	e.Complete()
 	is.Equal(len(startAll(e, later)), 0) // run 1 is on record at w1
 	e.Report("w1", later, nil, []EndedTask{end}, time.Time{}, later)
--- a/placing/job.go
+++ b/placing/job.go
@@ -135,72 +135,90 @@
 	return list
 }
 
-// record is the job's progress as it is kept in the log.
+// record is the job's progress as it is kept in the log. Of an ended job only
+// the state is kept: nothing of it is placed again, and what still runs is
+// stopped wherever it is found.
 func (j *job) record() jobs.Record {
 	progress := &jobs.Progress{State: j.state, Reason: j.reason}
 	if j.state.Final() {
 		progress.EndedMS = j.endedMS
+	} else {
+		j.recordTasks(progress)
 	}
-	for _, task := range j.allTasks() {
-		if task.lastRun == 0 && !task.done {
+	record, err := jobs.ProgressRecord(j.submission.ID, progress)
+	if err != nil {
+		panic("placing: progress cannot be encoded: " + err.Error())
+	}
+	return record
+}
+
+func (j *job) recordTasks(progress *jobs.Progress) {
+	for flat, task := range j.allTasks() {
+		if task.done {
+			progress.Done.Set(flat)
 			continue
 		}
-		kept := jobs.TaskProgress{
-			Occurrence: task.key.Occurrence,
-			Step:       task.key.Step,
-			Index:      task.key.Index,
-			Run:        task.lastRun,
-			Done:       task.done,
-			Failed:     task.failed,
-			Judged:     task.judged,
-		}
-		if !task.done {
-			kept.Checkpoint = task.checkpoint
+		if task.lastRun == 0 {
+			continue
 		}
+		kept := jobs.TaskProgress{Flat: flat, Run: task.lastRun, Failed: task.failed, Judged: task.judged, Checkpoint: task.checkpoint}
 		if task.run != nil {
 			kept.Worker = task.run.node.entry.ID
 		}
 		progress.Tasks = append(progress.Tasks, kept)
 	}
-	record, err := jobs.ProgressRecord(j.submission.ID, progress)
+}
+
+// restoreRecord takes what the log says of a job.
+func (e *Engine) restoreRecord(job *job, value []byte) {
+	progress, err := jobs.DecodeProgress(value)
 	if err != nil {
-		panic("placing: progress cannot be encoded: " + err.Error())
+		// The fold has read the state of this very record; a job whose tasks
+		// cannot be read must not run again.
+		e.note("progress_unreadable", job, "", err.Error())
+		job.state = jobs.StateFailed
+		job.reason = "its progress cannot be read"
+		return
 	}
-	return record
+	e.restore(job, progress, e.formerLapse)
 }
 
-// restore takes what the log says of a job. Runs on record become doubtful
-// until their workers have reported, or until lapse.
+// restore takes over a job's progress. Runs on record are looked for at their
+// workers, until lapse.
 func (e *Engine) restore(job *job, progress *jobs.Progress, lapse time.Time) {
 	job.state = progress.State
 	job.reason = progress.Reason
 	if progress.State.Final() {
 		job.endedMS = progress.EndedMS
 		job.endedAt = job.acceptedAt.Add(time.Duration(progress.EndedMS-job.firstMS) * time.Millisecond)
+		return
 	}
-	for _, kept := range progress.Tasks {
-		key := jobs.TaskKey{Job: job.submission.ID, Occurrence: kept.Occurrence, Step: kept.Step, Index: kept.Index}
-		task := job.task(key)
-		if task == nil {
-			continue
-		}
-		task.lastRun = kept.Run
-		task.failed = kept.Failed
-		task.judged = kept.Judged
-		task.checkpoint = kept.Checkpoint
-		if kept.Done {
+	tasks := job.allTasks()
+	for flat, task := range tasks {
+		if progress.Done.Has(flat) {
 			e.markDone(task)
 		}
-		if kept.Worker == "" {
-			continue
+	}
+	for _, kept := range progress.Tasks {
+		if kept.Flat < len(tasks) {
+			e.restoreTask(tasks[kept.Flat], kept, lapse)
 		}
-		node := e.node(kept.Worker, lapse)
-		run := &run{task: task, number: kept.Run, node: node, phase: phaseRunning, wantNode: true}
-		task.run = run
-		node.add(run)
 	}
 }
 
+func (e *Engine) restoreTask(task *task, kept jobs.TaskProgress, lapse time.Time) {
+	task.lastRun = kept.Run
+	task.failed = kept.Failed
+	task.judged = kept.Judged
+	task.checkpoint = kept.Checkpoint
+	if kept.Worker == "" {
+		return
+	}
+	node := e.node(kept.Worker, lapse)
+	task.run = &run{task: task, number: kept.Run, node: node, phase: phaseRunning, wantNode: true}
+	node.add(task.run)
+}
+
 func (e *Engine) markDone(task *task) {
 	if task.done {
 		return
--- a/placing/report.go
+++ b/placing/report.go
@@ -158,7 +158,9 @@
 		run.wantNode = false
 		e.resolve(run, "ended "+string(end.How), now)
 	}
-	e.touch(job)
+	if !job.state.Final() {
+		e.touch(job)
+	}
 }
 
 func (e *Engine) settleEnd(job *job, task *task, run *run, end EndedTask, now time.Time) {
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -151,10 +151,12 @@
 	}
 	task.run = nil
 	job := task.step.job
-	if !task.done && !job.state.Final() {
-		e.note("run_over", job, run.node.entry.ID, task.key.String()+" "+why)
+	if !job.state.Final() {
+		e.touch(job)
+		if !task.done {
+			e.note("run_over", job, run.node.entry.ID, task.key.String()+" "+why)
+		}
 	}
-	e.touch(job)
 	if task.step.spec.Gang && !task.done {
 		e.dissolve(task.step, "gang member over: "+why, now)
 	}
