An instance that lost the store has another one write and look for it

Change: package relay, yamux and protobuf on demand; records are appended and states read by another instance, which asks no third one; instances write where they answer into the log. Two failed reads in a row count as lost at once.

--- a/batch/commit.go
+++ b/batch/commit.go
@@ -24,7 +24,7 @@
 	commitGroup = 64
 	// commitTries is how often a group is sent; its records are harmless when
 	// written twice.
-	commitTries = 3
+	commitTries = 2
 	// commitStuck is how old the append on its way may be before new records
 	// are refused at once, as they would wait behind it.
 	commitStuck = 1200 * time.Millisecond
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -20,6 +20,9 @@
 	// contactStale is how long after its last answer the store counts as away;
 	// reads wait progressWait at most, and take up to 0.3 s when it is slow.
 	contactStale = 2200 * time.Millisecond
+	// failuresAway reads in a row without an answer mean the same; one may be a
+	// connection that was reset.
+	failuresAway = 2
 	// progressWait is how long a read waits for a record where the holder of the
 	// term writes. A silent holder is noticed at the end of such a wait.
 	progressWait = 600 * time.Millisecond
@@ -42,12 +45,12 @@
 	gap    func() time.Duration // pause after a read that brought records
 	wait   time.Duration        // how long a read may wait for one
 
-	lock    *sync.Mutex // held while records are applied; may be shared
-	next    int64
-	loaded  bool
-	contact time.Time // when the last answered read was sent
-	heard   time.Time // when it was answered
-	failing bool
+	lock     *sync.Mutex // held while records are applied; may be shared
+	next     int64
+	loaded   bool
+	contact  time.Time // when the last answered read was sent
+	heard    time.Time // when it was answered
+	failures int       // reads in a row without an answer that helps
 }
 
 // run follows the stream until ctx ends.
@@ -138,10 +141,10 @@
 }
 
 func (f *follower) touch(sent time.Time) {
-	if f.failing {
+	if f.failures > 0 {
 		f.log.WithField("stream", string(f.stream)).Info("store_regained")
 	}
-	f.failing = false
+	f.failures = 0
 	f.heard = f.clock.Now()
 	if sent.After(f.contact) {
 		f.contact = sent
@@ -151,10 +154,10 @@
 func (f *follower) lost(err error) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	if !f.failing {
+	if f.failures == 0 {
 		f.log.WithField("stream", string(f.stream)).WithField("error", err.Error()).Warn("store_lost")
 	}
-	f.failing = true
+	f.failures++
 }
 
 func (f *follower) isLoaded() bool {
@@ -173,7 +176,7 @@
 func (f *follower) inContact() bool {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	return f.loaded && f.clock.Now().Sub(f.contact) < contactStale
+	return f.loaded && f.failures < failuresAway && f.clock.Now().Sub(f.contact) < contactStale
 }
 
 // heardAt is when the newest read was answered.
--- /dev/null
+++ b/batch/helpers.go
@@ -0,0 +1,183 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+	"github.com/teaselcleat/teaselcleat/logstream"
+	"github.com/teaselcleat/teaselcleat/relay"
+	"github.com/teaselcleat/teaselcleat/relay/relaypb"
+)
+
+const (
+	// helperTries is how many other instances are asked for one call.
+	helperTries = 2
+	// helperTimeout bounds one such call: the way there takes a millisecond, an
+	// append 4 ms, or 0.3 s while the store is slow.
+	helperTimeout = 500 * time.Millisecond
+	// helperRest is how long an instance that did not answer, or that has lost
+	// the store too, is not asked again.
+	helperRest = 700 * time.Millisecond
+	// registerAgain is the pause before the own address is written again after
+	// a failure.
+	registerAgain = time.Second
+)
+
+// helpers are the other instances, as far as this one may ask them to write or
+// to look while the store is out of its own reach.
+type helpers struct {
+	client *relay.Client
+	clock  *Clock
+
+	lock    sync.Mutex
+	restsTo map[string]time.Time // by address
+}
+
+func newHelpers(clock *Clock) *helpers {
+	return &helpers{client: relay.NewClient(), clock: clock, restsTo: map[string]time.Time{}}
+}
+
+// choose returns addresses to ask, at random so that load spreads.
+func (h *helpers) choose(known map[string]string, self string) []string {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	now := h.clock.Now()
+	var list []string
+	for name, address := range known {
+		if name != self && address != "" && !now.Before(h.restsTo[address]) {
+			list = append(list, address)
+		}
+	}
+	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	return list[:min(helperTries, len(list))]
+}
+
+func (h *helpers) rest(address string) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	h.restsTo[address] = h.clock.Now().Add(helperRest)
+}
+
+func (h *helpers) call(ctx context.Context, address string, call *relaypb.Call) (*relaypb.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, helperTimeout)
+	defer cancel()
+	answer, err := h.client.Call(ctx, address, call)
+	if err != nil {
+		h.rest(address)
+	}
+	return answer, err
+}
+
+// write has another instance append a record. ErrNotDone says that none did or
+// will.
+func (h *helpers) write(ctx context.Context, addresses []string, record jobs.Record) error {
+	call := &relaypb.Call{Body: &relaypb.Call_Write{Write: &relaypb.Write{Key: record.Key, Value: record.Value}}}
+	result := ErrNotDone
+	for _, address := range addresses {
+		answer, err := h.call(ctx, address, call)
+		switch {
+		case err == nil && answer.Fate == relaypb.Fate_FATE_DONE:
+			return nil
+		case err == nil && answer.Fate == relaypb.Fate_FATE_NOT_DONE:
+			h.rest(address)
+		case !errors.Is(err, relay.ErrNotSent):
+			result = ErrUnknown
+		}
+	}
+	return result
+}
+
+// look has another instance read what became of a job. looked is false if none
+// could.
+func (h *helpers) look(ctx context.Context, addresses []string, id string) (state jobs.State, looked bool) {
+	call := &relaypb.Call{Body: &relaypb.Call_Look{Look: &relaypb.Look{Job: id}}}
+	for _, address := range addresses {
+		answer, err := h.call(ctx, address, call)
+		if err == nil && answer.Looked {
+			return jobs.State(answer.State), true
+		}
+		h.rest(address)
+	}
+	return "", false
+}
+
+// write appends a caller's record, here or through another instance.
+func (i *Instance) write(ctx context.Context, record jobs.Record) error {
+	err := ErrNotDone
+	if i.loaded() && i.work.inContact() {
+		err = i.committer.write(ctx, record)
+	}
+	if err == nil {
+		return nil
+	}
+	helped := i.helpers.write(ctx, i.helperAddresses(), record)
+	i.metrics.count("relay.write")
+	if helped == nil {
+		return nil
+	}
+	if errors.Is(err, ErrUnknown) {
+		return err
+	}
+	return helped
+}
+
+func (i *Instance) helperAddresses() []string {
+	i.foldLock.Lock()
+	known := i.fold.table.Instances()
+	i.foldLock.Unlock()
+	return i.helpers.choose(known, i.settings.Name)
+}
+
+// Relayed answers a call of another instance. It asks no third one.
+func (i *Instance) Relayed(ctx context.Context, call *relaypb.Call) *relaypb.Answer {
+	switch body := call.Body.(type) {
+	case *relaypb.Call_Write:
+		return &relaypb.Answer{Fate: i.relayedWrite(ctx, body.Write)}
+	case *relaypb.Call_Look:
+		return i.relayedLook(ctx, body.Look.Job)
+	}
+	return &relaypb.Answer{Fate: relaypb.Fate_FATE_NOT_DONE}
+}
+
+func (i *Instance) relayedWrite(ctx context.Context, write *relaypb.Write) relaypb.Fate {
+	if !i.loaded() || !i.work.inContact() {
+		return relaypb.Fate_FATE_NOT_DONE
+	}
+	err := i.committer.write(ctx, jobs.Record{Key: write.Key, Value: write.Value})
+	switch {
+	case err == nil:
+		return relaypb.Fate_FATE_DONE
+	case errors.Is(err, ErrNotDone):
+		return relaypb.Fate_FATE_NOT_DONE
+	}
+	return relaypb.Fate_FATE_UNKNOWN
+}
+
+func (i *Instance) relayedLook(ctx context.Context, id string) *relaypb.Answer {
+	if !i.loaded() || !i.work.inContact() {
+		return &relaypb.Answer{}
+	}
+	state, outcome := i.ownState(ctx, id)
+	switch outcome.Verdict {
+	case Accepted:
+		return &relaypb.Answer{Looked: true, State: string(state)}
+	case NoSuchJob:
+		return &relaypb.Answer{Looked: true}
+	}
+	return &relaypb.Answer{}
+}
+
+// register writes where this instance answers others, once.
+func (i *Instance) register(ctx context.Context) {
+	record := jobs.InstanceRecord(i.settings.Name, i.settings.RelayAddress)
+	for i.settings.RelayAddress != "" && ctx.Err() == nil {
+		if i.loaded() && i.committer.write(ctx, record) == nil {
+			return
+		}
+		logstream.Sleep(ctx, registerAgain)
+	}
+}
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -53,6 +53,7 @@
 	fold          *workFold
 	foldLock      sync.Mutex
 	committer     *committer
+	helpers       *helpers
 
 	draining      atomic.Bool
 	handOver      chan struct{} // closed when the term is to be given up
@@ -78,6 +79,7 @@
 	}
 	i.fold = newWorkFold(log)
 	i.committer = newCommitter(store, i.clock, partOf(i.nameHash, settings.StoreParts))
+	i.helpers = newHelpers(i.clock)
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, quietWait)
 	i.operator.apply = i.applyConfig
 	i.operator.gap = func() time.Duration { return configPause }
@@ -92,6 +94,7 @@
 	}
 	i.kernel.AddDuty("commit", i.committer.run)
 	i.kernel.AddDuty("placing", i.placingDuty)
+	i.kernel.AddDuty("register", i.register)
 	return i
 }
 
--- a/batch/serve.go
+++ b/batch/serve.go
@@ -28,8 +28,8 @@
 }
 
 const (
-	// retryAway is told while the store does not answer here: outages last
-	// seconds, and other instances may be in touch with it.
+	// retryAway is told while the store answers neither here nor at the other
+	// instances that were asked: outages last seconds.
 	retryAway = time.Second
 	// freshEnough is how old the fold may be for a state to be told from it, and
 	// freshTimeout what reading it anew may take.
@@ -38,8 +38,6 @@
 	// lookTimeout bounds the reading of the log before a job is denied: reads
 	// take milliseconds, and 0.3 s while the store is slow.
 	lookTimeout = 800 * time.Millisecond
-	// retryFull is told when too many records wait to be written.
-	retryFull = time.Second
 )
 
 // Submit stores a job. It is accepted once its record is durable.
@@ -55,20 +53,17 @@
 	if i.known(submission.ID) {
 		return Outcome{Verdict: Accepted, Reason: "known"}
 	}
-	if !i.loaded() || !i.work.inContact() {
-		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: retryAway}
-	}
 	submission.AcceptedMS = i.clock.WallMS(i.clock.Now())
 	record, err := jobs.SubmissionRecord(submission)
 	if err != nil {
 		return Outcome{Verdict: NotRun, Reason: err.Error()}
 	}
-	err = i.committer.write(ctx, record)
+	err = i.write(ctx, record)
 	switch {
 	case err == nil:
 		return Outcome{Verdict: Accepted, Reason: "stored"}
 	case errors.Is(err, ErrNotDone):
-		return Outcome{Verdict: NotRun, Reason: "store refuses", RetryAfter: retryFull}
+		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: retryAway}
 	}
 	if i.known(submission.ID) {
 		return Outcome{Verdict: Accepted, Reason: "read back"}
@@ -91,10 +86,11 @@
 	if state.Final() {
 		return Outcome{Verdict: Accepted, Reason: "already " + string(state)}
 	}
-	if !i.work.inContact() {
+	err := i.write(ctx, jobs.CancelRecord(id))
+	if errors.Is(err, ErrNotDone) {
 		return Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
 	}
-	if err := i.committer.write(ctx, jobs.CancelRecord(id)); err != nil {
+	if err != nil {
 		return Outcome{Verdict: Undecided, Reason: err.Error(), RetryAfter: retryAway}
 	}
 	return Outcome{Verdict: Accepted, Reason: "stored"}
@@ -105,15 +101,40 @@
 	return i.state(ctx, id)
 }
 
-// state looks a job up. One that is not known here may have been accepted
-// elsewhere a moment ago, so the log is read up to now before it is denied.
+// state looks a job up, here or, while the store is out of reach, through
+// another instance. A final state known here stands.
 func (i *Instance) state(ctx context.Context, id string) (jobs.State, Outcome) {
+	if i.loaded() && i.work.inContact() {
+		return i.ownState(ctx, id)
+	}
+	known, ok := i.lookUp(id)
+	if ok && known.Final() {
+		return known, Outcome{Verdict: Accepted}
+	}
+	state, looked := i.helpers.look(ctx, i.helperAddresses(), id)
+	i.metrics.count("relay.look")
+	switch {
+	case looked && state == "":
+		return "", Outcome{Verdict: NoSuchJob, Reason: "not in the log, as another instance reads it"}
+	case looked:
+		return state, Outcome{Verdict: Accepted}
+	case ok:
+		return known, Outcome{Verdict: Accepted, Reason: "as known before the store was lost"}
+	}
+	return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
+}
+
+// ownState looks a job up in the fold. Unless its state is final, what the
+// placing instance wrote by now is read first. One that is not known here may
+// have been accepted elsewhere a moment ago, so the log is read up to now
+// before it is denied.
+func (i *Instance) ownState(ctx context.Context, id string) (jobs.State, Outcome) {
 	if state, ok := i.freshState(ctx, id); ok {
 		return state, Outcome{Verdict: Accepted}
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
-	if err := i.refreshCalls(ctx); err != nil || !i.loaded() {
+	if err := i.refreshCalls(ctx); err != nil {
 		return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
 	}
 	if state, ok := i.lookUp(id); ok {
@@ -122,12 +143,11 @@
 	return "", Outcome{Verdict: NoSuchJob, Reason: "not in the log"}
 }
 
-// freshState looks a known job up. Unless its state is final, what the placing
-// instance wrote by now is read first, if the store answers quickly.
+// freshState looks a known job up.
 func (i *Instance) freshState(ctx context.Context, id string) (jobs.State, bool) {
 	state, ok := i.lookUp(id)
 	fresh := i.clock.Now().Sub(i.work.heardAt()) < freshEnough
-	if !ok || state.Final() || fresh || !i.work.inContact() {
+	if !ok || state.Final() || fresh {
 		return state, ok
 	}
 	ctx, cancel := context.WithTimeout(ctx, freshTimeout)
--- a/batch/settings.go
+++ b/batch/settings.go
@@ -19,5 +19,6 @@
 	Restore          time.Duration // what resuming costs
 	Early            time.Duration // how much before its time a job may start
 	RemoteFactor     float64       // how much longer a task takes away from its rack
+	RelayAddress     string        // IP:PORT for the calls of other instances; empty for none
 	StoreParts       int           // parts that a stream of the store has
 }
--- a/command/front.go
+++ b/command/front.go
@@ -15,6 +15,7 @@
 
 	"github.com/teaselcleat/teaselcleat/batch"
 	"github.com/teaselcleat/teaselcleat/platform"
+	"github.com/teaselcleat/teaselcleat/relay"
 )
 
 const (
@@ -78,6 +79,7 @@
 	instance *batch.Instance
 	front    *http.Server
 	ready    *http.Server
+	endRelay context.CancelFunc // nil while no calls of others are served
 }
 
 func newFrontProcess(loaded *platform.Settings, log *logrus.Entry) *frontProcess {
@@ -106,6 +108,21 @@
 		}()
 	}
 	p.instance.Start()
+	return p.serveRelay()
+}
+
+// serveRelay answers the calls of other instances.
+func (p *frontProcess) serveRelay() error {
+	if p.settings.RelayAddress == "" {
+		return nil
+	}
+	listener, err := listen(p.settings.RelayAddress)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.endRelay = cancel
+	go relay.Serve(ctx, listener, p.instance.Relayed)
 	return nil
 }
 
@@ -130,6 +147,9 @@
 	if err := p.front.Shutdown(ctx); err != nil {
 		p.log.WithField("error", err.Error()).Warn("calls_cut")
 	}
+	if p.endRelay != nil {
+		p.endRelay()
+	}
 	p.instance.Stop()
 	p.ready.Close()
 }
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -13,12 +13,14 @@
 	Value []byte
 }
 
-// Prefixes of keys. What follows is the job's ID; the term has one key alone.
+// Prefixes of keys. What follows is the job's ID, or the instance's name; the
+// term has one key alone.
 const (
 	submissionPrefix = "s/"
 	cancelPrefix     = "c/"
 	progressPrefix   = "p/"
 	termKey          = "term"
+	instancePrefix   = "i/"
 )
 
 // Term names the placing instance. Epoch fences its orders and its appends.
@@ -43,6 +45,12 @@
 // TermRecord returns the record that claims, renews or hands over the term.
 func TermRecord(t Term) (Record, error) { return encode(termKey, t) }
 
+// InstanceRecord returns the record that tells where an instance answers the
+// calls of others, as IP:PORT.
+func InstanceRecord(name, address string) Record {
+	return Record{Key: instancePrefix + name, Value: []byte(address)}
+}
+
 // CancelRecord returns the record that cancels a job.
 func CancelRecord(id string) Record { return Record{Key: cancelPrefix + id, Value: []byte{'1'}} }
 
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "sort"
+import (
+	"maps"
+	"sort"
+)
 
 // Job is the folded state of one job.
 type Job struct {
@@ -35,12 +38,17 @@
 
 // Table is the fold of the work stream. It is not safe for concurrent use.
 type Table struct {
-	jobs map[string]*Job
-	term Term
+	jobs      map[string]*Job
+	term      Term
+	instances map[string]string
 }
 
 // NewTable returns an empty fold.
-func NewTable() *Table { return &Table{jobs: map[string]*Job{}} }
+func NewTable() *Table { return &Table{jobs: map[string]*Job{}, instances: map[string]string{}} }
+
+// Instances returns the addresses at which instances said to answer others, by
+// name. Some may be gone.
+func (t *Table) Instances() map[string]string { return maps.Clone(t.instances) }
 
 // Term returns the newest term.
 func (t *Table) Term() Term { return t.term }
@@ -93,6 +101,10 @@
 	if record.Key == termKey {
 		return t.applyTerm(record)
 	}
+	if name, ok := subject(record.Key, instancePrefix); ok {
+		t.instances[name] = string(record.Value)
+		return Change{}, nil
+	}
 	if id, ok := subject(record.Key, submissionPrefix); ok {
 		return t.applySubmission(id, record, part)
 	}
