--- /dev/null
+++ b/standin/taskworker.go
@@ -0,0 +1,199 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// TaskWorker is a stand-in of one worker that runs tasks under leases, as the
+// users' platform has them. A task runs for RunTime and ends as done, or as
+// failed if its spec is "fail".
+type TaskWorker struct {
+	ID      string
+	RunTime time.Duration
+
+	mu      sync.Mutex
+	start   time.Time
+	fence   int64
+	until   int64
+	running map[string]*taskRun
+	highest map[string]int // highest run stopped or ended, by task
+	ends    []taskEnd
+	number  int64
+	changed chan struct{}
+	starts  map[string]int // starts of each task
+	router  *mux.Router
+}
+
+type taskRun struct {
+	run    int
+	failed bool
+	timer  *time.Timer
+}
+
+type taskEnd struct {
+	number int64
+	row    []any
+}
+
+// NewTaskWorker returns an idle worker.
+func NewTaskWorker(id string, runTime time.Duration) *TaskWorker {
+	w := &TaskWorker{ID: id, RunTime: runTime, start: time.Now(), running: map[string]*taskRun{},
+		highest: map[string]int{}, changed: make(chan struct{}), starts: map[string]int{}, router: mux.NewRouter()}
+	w.router.HandleFunc("/api/run-start", w.serveStart).Methods(http.MethodPost)
+	w.router.HandleFunc("/api/run-stop", w.serveStop).Methods(http.MethodPost)
+	w.router.HandleFunc("/api/hold", w.serveHold).Methods(http.MethodPost)
+	return w
+}
+
+// ServeHTTP implements http.Handler.
+func (w *TaskWorker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("X-Teaselcleat-Expect-Instance"); expected != "" && expected != w.ID {
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.router.ServeHTTP(out, r)
+}
+
+// Starts is how often a task was started here.
+func (w *TaskWorker) Starts(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts[task]
+}
+
+// Running is the number of tasks at work.
+func (w *TaskWorker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.running)
+}
+
+// taskOrder is the body of every order.
+type taskOrder struct {
+	Task      string `json:"task"`
+	Run       int    `json:"run"`
+	Spec      string `json:"spec"`
+	UntilMS   int64  `json:"until_ms"`
+	Fence     int64  `json:"fence"`
+	AckCursor int64  `json:"ack_cursor"`
+	WaitMS    int64  `json:"wait_ms"`
+}
+
+func (w *TaskWorker) clock() int64 { return time.Since(w.start).Milliseconds() + 1 }
+
+// admit reads an order and checks its fence; w.mu is held on success.
+func (w *TaskWorker) admit(out http.ResponseWriter, r *http.Request) (order taskOrder, ok bool) {
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return order, false
+	}
+	w.mu.Lock()
+	if order.Fence < w.fence {
+		w.mu.Unlock()
+		w.refuse(out, "fence")
+		return order, false
+	}
+	w.fence = order.Fence
+	w.until = max(w.until, order.UntilMS)
+	return order, true
+}
+
+func (w *TaskWorker) refuse(out http.ResponseWriter, reason string) {
+	writeReply(out, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": reason})
+}
+
+func (w *TaskWorker) serveStart(out http.ResponseWriter, r *http.Request) {
+	order, ok := w.admit(out, r)
+	if !ok {
+		return
+	}
+	defer w.mu.Unlock()
+	if known := w.running[order.Task]; known != nil && known.run == order.Run {
+		writeReply(out, http.StatusOK, map[string]any{"clock_ms": w.clock()})
+		return
+	}
+	if order.Run <= w.highest[order.Task] || w.running[order.Task] != nil {
+		w.refuse(out, "old")
+		return
+	}
+	w.starts[order.Task]++
+	made := &taskRun{run: order.Run, failed: strings.HasPrefix(order.Spec, "fail")}
+	made.timer = time.AfterFunc(w.RunTime, func() { w.finish(order.Task, made) })
+	w.running[order.Task] = made
+	writeReply(out, http.StatusOK, map[string]any{"clock_ms": w.clock()})
+}
+
+func (w *TaskWorker) finish(task string, run *taskRun) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	how := "done"
+	if run.failed {
+		how = "failed"
+	}
+	w.end(task, run, how)
+}
+
+// end is called with w.mu held.
+func (w *TaskWorker) end(task string, run *taskRun, how string) {
+	if w.running[task] != run {
+		return
+	}
+	run.timer.Stop()
+	delete(w.running, task)
+	w.highest[task] = max(w.highest[task], run.run)
+	w.number++
+	w.ends = append(w.ends, taskEnd{w.number, []any{w.number, task, run.run, how, ""}})
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *TaskWorker) serveStop(out http.ResponseWriter, r *http.Request) {
+	order, ok := w.admit(out, r)
+	if !ok {
+		return
+	}
+	defer w.mu.Unlock()
+	w.highest[order.Task] = max(w.highest[order.Task], order.Run)
+	if run := w.running[order.Task]; run != nil && run.run == order.Run {
+		w.end(order.Task, run, "stopped")
+	}
+	writeReply(out, http.StatusOK, map[string]any{"clock_ms": w.clock()})
+}
+
+func (w *TaskWorker) serveHold(out http.ResponseWriter, r *http.Request) {
+	order, ok := w.admit(out, r)
+	if !ok {
+		return
+	}
+	kept := w.ends[:0]
+	for _, end := range w.ends {
+		if end.number > order.AckCursor {
+			kept = append(kept, end)
+		}
+	}
+	w.ends = kept
+	if changed := w.changed; len(kept) == 0 && order.WaitMS > 0 {
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(order.WaitMS) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		w.mu.Lock()
+	}
+	defer w.mu.Unlock()
+	running, ended := [][]any{}, [][]any{}
+	for task, run := range w.running {
+		running = append(running, []any{task, run.run, "", 50, 0})
+	}
+	for _, end := range w.ends {
+		ended = append(ended, end.row)
+	}
+	writeReply(out, http.StatusOK, map[string]any{"clock_ms": w.clock(), "running": running, "ended": ended})
+}
