Logs within a budget that never block, states and metrics to look at, one story out of many logs

Cause: on-call engineers have only logs and metrics, and a slow reader of standard output stopped the process. Change: package logsink (bounded ring, budget of 200 lines a second for each kind, what was left out is counted); lines carry the age of the log and the version of the configuration; /metrics and /status beside the balancer's check; commands explain (merge logs of several processes about a job), fleet and check -platform. Ruled out: a sampling logger, which drops the one line that matters.

--- a/batch/instance.go
+++ b/batch/instance.go
@@ -54,6 +54,7 @@
 	foldLock      sync.Mutex
 	committer     *committer
 	helpers       *helpers
+	chronicle     *chronicle
 
 	draining      atomic.Bool
 	handOver      chan struct{} // closed when the term is to be given up
@@ -80,6 +81,7 @@
 	i.fold = newWorkFold(log)
 	i.committer = newCommitter(store, i.clock, partOf(i.nameHash, settings.StoreParts))
 	i.helpers = newHelpers(i.clock)
+	i.chronicle = newChronicle(i.clock)
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, quietWait)
 	i.operator.apply = i.applyConfig
 	i.operator.gap = func() time.Duration { return configPause }
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -356,17 +356,17 @@
 }
 
 func (l *leader) logNote(note placing.Note) {
-	entry := l.log
+	fields := logrus.Fields{}
 	if note.Job != "" {
-		entry = entry.WithField("job", note.Job)
+		fields["job"] = note.Job
 	}
 	if note.Worker != "" {
-		entry = entry.WithField("worker", note.Worker)
+		fields["worker"] = note.Worker
 	}
 	if note.Detail != "" {
-		entry = entry.WithField("detail", note.Detail)
+		fields["detail"] = note.Detail
 	}
-	entry.Info(note.Event)
+	l.instance.chronicle.write(l.log, note.Event, fields)
 	l.instance.metrics.count("decisions." + note.Event)
 }
 
--- a/batch/serve.go
+++ b/batch/serve.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/teaselcleat/teaselcleat/jobs"
 )
 
@@ -178,10 +180,21 @@
 	return job.State(), true
 }
 
+// logOutcome writes what a caller was told, with the age of what was known of
+// the log and the version of the configuration that decided it.
 func (i *Instance) logOutcome(call, id string, outcome Outcome) {
 	i.metrics.count("calls." + call + "." + outcome.Verdict.String())
-	i.log.WithField("job", id).WithField("verdict", outcome.Verdict.String()).WithField("reason", outcome.Reason).
-		WithField("retry_after_ms", outcome.RetryAfter.Milliseconds()).Info(call)
+	fields := logrus.Fields{
+		"job":            id,
+		"verdict":        outcome.Verdict.String(),
+		"reason":         outcome.Reason,
+		"retry_after_ms": outcome.RetryAfter.Milliseconds(),
+		"log_age_ms":     sinceMS(i.clock.Now(), i.work.heardAt()),
+	}
+	if config := i.Config(); config != nil {
+		fields["config"] = config.Version
+	}
+	i.chronicle.write(i.log, call, fields)
 }
 
 // String is for logs and metrics.
--- a/command/command.go
+++ b/command/command.go
@@ -39,7 +39,7 @@
 		"front":    {"front [-settings FILE]: run one instance on the users' platform", runFront},
 		"serve":    {"serve -config FILE: run one entry instance", runServe},
 		"dev":      {"dev [-demo]: run the whole system in one process on loopback", runDev},
-		"check":    {"check -config FILE: check a settings file", runCheck},
+		"check":    {"check -config FILE | -platform FILE: check a settings file", runCheck},
 		"submit":   {"submit [flags]: submit a request or a gang job", runSubmit},
 		"status":   {"status -addr ADDR ID: print a job's state", runStatus},
 		"cancel":   {"cancel -addr ADDR ID: cancel a job", runCancel},
@@ -47,6 +47,8 @@
 		"refusals": {"refusals -addr ADDR [-workspace W]: print recorded refusals", runRefusals},
 		"timeline": {"timeline [-job ID] [-workspace W] ADDR...: merge the events of processes", runTimeline},
 		"replay":   {"replay -settings FILE [-policy NAME] TRACE: replay a recorded trace", runReplay},
+		"explain":  {"explain ID LOG...: merge what the logs of several processes say of a job", runExplain},
+		"fleet":    {"fleet ADDR...: what instances on the platform believe", runFleet},
 		"version":  {"version: print the version", runVersion},
 	}
 }
--- /dev/null
+++ b/command/explain_test.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// What two processes wrote of one job comes out in the order of time, with the
+// change of term between, and nothing of other jobs.
+func TestExplainMergesLogs(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	one := `time="2026-12-02T10:00:00.100Z" level=info msg=submit job=00000000000000a1
+time="2026-12-02T10:00:03.000Z" level=info msg=job_ended job=00000000000000a1
+time="2026-12-02T10:00:01.000Z" level=info msg=submit job=00000000000000b2
+`
+	two := `time="2026-12-02T10:00:00.200Z" level=info msg=placed job=00000000000000a1
+time="2026-12-02T10:00:02.000Z" level=warning msg=term_lost reason="a later term has written"
+time="2026-12-02T10:00:09.000Z" level=info msg=term_won
+`
+	is.NoErr(os.WriteFile(filepath.Join(dir, "one.log"), []byte(one), 0o600))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "two.log"), []byte(two), 0o600))
+	var out, errs bytes.Buffer
+	is.Equal(Main([]string{"explain", "00000000000000a1", dir}, &out, &errs), ExitDone)
+	var events []string
+	for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		_, rest, _ := strings.Cut(line, "msg=")
+		event, _, _ := strings.Cut(rest, " ")
+		events = append(events, event)
+	}
+	is.Equal(events, []string{"submit", "placed", "term_lost", "job_ended"})
+	is.Equal(Main([]string{"explain", "ffffffffffffffff", dir}, &out, &errs), ExitFailed)
+}
+
+func TestCheckNamesEveryFaultOfThePlatformsFile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "boot.json")
+	is.NoErr(os.WriteFile(path, []byte(`{"listen":{"front":"x","ready":"127.0.0.1:1"},"bounds":{"stop_ms":-1}}`), 0o600))
+	var out, errs bytes.Buffer
+	is.Equal(Main([]string{"check", "-platform", path}, &out, &errs), ExitUsage)
+	for _, fault := range []string{"node", "listen.front", "platform.address", "bounds.stop_ms"} {
+		is.True(strings.Contains(errs.String(), fault))
+	}
+}
--- a/command/front.go
+++ b/command/front.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/teaselcleat/teaselcleat/batch"
+	"github.com/teaselcleat/teaselcleat/logsink"
 	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/relay"
 )
@@ -51,9 +52,20 @@
 	if loaded.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryMB<<20)))
 	}
+	sink := logsink.New()
+	logContext, endLog := context.WithCancel(context.Background())
+	logEnded := make(chan struct{})
+	go func() {
+		sink.Run(logContext, to.out)
+		close(logEnded)
+	}()
+	defer func() {
+		endLog()
+		<-logEnded
+	}()
 	log := logrus.New()
-	log.SetOutput(to.out)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	log.SetOutput(sink)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: logTimes})
 	entry := log.WithField("instance", loaded.Name)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -91,7 +103,7 @@
 		log:      log,
 		instance: instance,
 		front:    &http.Server{Addr: loaded.FrontAddress, Handler: platform.FrontHandler(instance), ReadTimeout: headTime, IdleTimeout: idleTime},
-		ready:    &http.Server{Addr: loaded.ReadyAddress, Handler: platform.ReadyHandler(instance), ReadTimeout: headTime, IdleTimeout: idleTime},
+		ready:    &http.Server{Addr: loaded.ReadyAddress, Handler: platform.ReadyHandler(instance, registry), ReadTimeout: headTime, IdleTimeout: idleTime},
 	}
 }
 
--- a/command/serve.go
+++ b/command/serve.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/teaselcleat/teaselcleat/instance"
+	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/settings"
 )
 
@@ -30,10 +31,14 @@
 
 func runCheck(args []string, to output) int {
 	flags := newFlags("check", to)
-	path := flags.String("config", "", "settings file")
+	path := flags.String("config", "", "settings file of our own, in INI")
+	platformPath := flags.String("platform", "", "settings file of the users' platform")
 	if code, ok := parse(flags, args, 0, 0, to); !ok {
 		return code
 	}
+	if *platformPath != "" {
+		return checkPlatform(*platformPath, to)
+	}
 	if _, code := loadSettings(*path, to); code != ExitDone {
 		return code
 	}
@@ -41,6 +46,15 @@
 	return ExitDone
 }
 
+func checkPlatform(path string, to output) int {
+	if _, err := platform.ReadSettings(path); err != nil {
+		fmt.Fprintln(to.err, err.Error())
+		return ExitUsage
+	}
+	fmt.Fprintln(to.out, "settings are valid")
+	return ExitDone
+}
+
 // newLog returns a logger that writes one line of key=value pairs an event.
 func newLog(to output, verbose bool) *logrus.Logger {
 	log := logrus.New()
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -83,6 +83,17 @@
 	return list
 }
 
+// Counts returns how many jobs are in each state.
+func (t *Table) Counts() map[State]int {
+	counts := map[State]int{}
+	for _, job := range t.jobs {
+		if job.Submission != nil {
+			counts[job.State()]++
+		}
+	}
+	return counts
+}
+
 // Waiting counts a queue's jobs of which no task was placed.
 func (t *Table) Waiting(queue string) int {
 	count := 0
