--- /dev/null
+++ b/batch/batch_test.go
@@ -0,0 +1,196 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+var testNow = time.Unix(5000, 0)
+
+func TestTermIsClaimedOnWitnessedSilenceOnly(t *testing.T) {
+	is := is.New(t)
+	vote := newElection("a", "a/1", 100*time.Millisecond)
+	vote.see(jobs.Term{Epoch: 4, Holder: "b/1"}, testNow)
+	is.True(!vote.claim(testNow, testNow.Add(time.Hour))) // no read was answered since
+	heard := testNow.Add(termSilence)
+	is.True(!vote.claim(heard, heard)) // others may come first
+	is.True(vote.claim(heard, heard.Add(100*time.Millisecond)))
+	is.True(!vote.claim(heard, heard.Add(200*time.Millisecond))) // the claim is on its way
+	vote.see(jobs.Term{Epoch: 5, Holder: "c/1"}, heard.Add(time.Second))
+	is.True(!vote.claim(heard.Add(time.Second), heard.Add(2*time.Second)))
+}
+
+func TestTermThatWasHandedOverOrIsOwnIsClaimedAtOnce(t *testing.T) {
+	is := is.New(t)
+	vote := newElection("a", "a/2", 0)
+	vote.see(jobs.Term{Epoch: 4}, testNow)
+	is.True(vote.claim(testNow, testNow))
+	vote = newElection("a", "a/2", time.Second)
+	vote.see(jobs.Term{Epoch: 4, Holder: "a/1"}, testNow) // this instance's life before
+	is.True(vote.claim(testNow, testNow))
+}
+
+func TestWeakInstancesLeaveTheTermToOthers(t *testing.T) {
+	is := is.New(t)
+	is.True(claimRank(7, 0.19) > claimSpread)
+	is.True(claimRank(7, 0.8) < claimSpread)
+	is.True(claimRank(7, 0) < claimSpread) // unknown
+}
+
+func TestPatienceLearnsAndDoubles(t *testing.T) {
+	is := is.New(t)
+	var p patience
+	is.Equal(p.limit(), patienceLeast)
+	p.lost()
+	is.Equal(p.limit(), 2*patienceLeast)
+	for range 20 {
+		p.answered(300 * time.Millisecond)
+	}
+	is.True(p.limit() > time.Second) // four times the usual answer
+	for range 9 {
+		p.lost()
+	}
+	is.Equal(p.limit(), patienceMost)
+}
+
+func TestPartOfEveryInstanceIsOneForCalls(t *testing.T) {
+	is := is.New(t)
+	for hash := range uint64(50) {
+		is.Equal(partOf(hash, 1), progressPart)
+		is.True(partOf(hash, 8) >= 1 && partOf(hash, 8) <= callParts)
+		is.Equal(partOf(hash, 2), 1)
+	}
+}
+
+// scriptedStore answers appends as told, one result a call.
+type scriptedStore struct {
+	Store
+	lock    sync.Mutex
+	results []error
+	groups  [][]jobs.Record
+	block   chan struct{} // closed to let appends go on; nil for no wait
+}
+
+func (s *scriptedStore) Append(ctx context.Context, _ int, records []jobs.Record, _ *Fence) error {
+	if s.block != nil {
+		<-s.block
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.groups = append(s.groups, records)
+	if len(s.results) == 0 {
+		return nil
+	}
+	result := s.results[0]
+	s.results = s.results[1:]
+	return result
+}
+
+func startCommitter(t *testing.T, store Store) *committer {
+	made := newCommitter(store, NewClock(), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go made.run(ctx)
+	return made
+}
+
+func TestCommitFates(t *testing.T) {
+	is := is.New(t)
+	for _, example := range []struct {
+		results []error
+		fate    error
+	}{
+		{nil, nil},
+		{[]error{ErrNotDone}, ErrNotDone},
+		{[]error{ErrUnknown, nil}, nil},
+		{[]error{ErrUnknown, ErrNotDone}, ErrUnknown}, // the first try may still take effect
+		{[]error{ErrUnknown, ErrUnknown}, ErrUnknown},
+	} {
+		committer := startCommitter(t, &scriptedStore{results: example.results})
+		is.Equal(committer.write(context.Background(), jobs.CancelRecord("a")), example.fate)
+	}
+}
+
+// A record that its caller gave up before it was sent is never sent, so it may
+// be called not done.
+func TestGivenUpBeforeSendingIsNotDone(t *testing.T) {
+	is := is.New(t)
+	store := &scriptedStore{block: make(chan struct{})}
+	committer := startCommitter(t, store)
+	first := make(chan error, 1)
+	go func() { first <- committer.write(context.Background(), jobs.CancelRecord("first")) }()
+	for committer.sentAt.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.Equal(committer.write(gone, jobs.CancelRecord("second")), ErrNotDone)
+	close(store.block)
+	is.NoErr(<-first)
+	is.NoErr(committer.write(context.Background(), jobs.CancelRecord("third")))
+	store.lock.Lock()
+	defer store.lock.Unlock()
+	for _, group := range store.groups {
+		for _, record := range group {
+			is.True(record.Key != jobs.CancelRecord("second").Key)
+		}
+	}
+}
+
+// outStore cannot be reached at all.
+type outStore struct{}
+
+var errOut = errors.New("out of reach")
+
+func (outStore) Append(context.Context, int, []jobs.Record, *Fence) error { return ErrNotDone }
+func (outStore) Read(context.Context, Stream, int, int64, time.Duration) (Batch, error) {
+	return Batch{}, errOut
+}
+func (outStore) Newest(context.Context, Stream, int) (Batch, error) { return Batch{}, errOut }
+
+func quietLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+// Without the log, nothing is accepted, nothing is denied, and a refusal is
+// given at once with a time to come back.
+func TestWithoutTheLogNothingIsDenied(t *testing.T) {
+	is := is.New(t)
+	instance := New(Settings{Name: "a", StoreParts: 8}, outStore{}, nil, nil, metrics.NewRegistry(), quietLog())
+	outcome := instance.Submit(context.Background(), &jobs.Submission{ID: "x", Steps: []jobs.Step{{Tasks: 1}}})
+	is.Equal(outcome.Verdict, NotRun)
+	is.True(outcome.RetryAfter > 0)
+	_, outcome = instance.State(context.Background(), "x")
+	is.Equal(outcome.Verdict, Unavailable)
+	is.Equal(instance.Cancel(context.Background(), "x").Verdict, Unavailable)
+	is.True(!instance.Ready())
+}
+
+// A read that begins before what is known, or leaves a gap, is not applied
+// twice nor out of order.
+func TestFollowerSkipsWhatItHas(t *testing.T) {
+	is := is.New(t)
+	var seen []string
+	f := &follower{clock: NewClock(), log: quietLog(), lock: &sync.Mutex{}, next: 2, apply: func(batch Batch) {
+		for _, record := range batch.Records {
+			seen = append(seen, record.Key)
+		}
+	}}
+	f.take(Batch{Records: []jobs.Record{{Key: "1"}, {Key: "2"}, {Key: "3"}}, Offsets: []int64{1, 2, 3}, Next: 4}, testNow)
+	f.take(Batch{Records: []jobs.Record{{Key: "2"}, {Key: "3"}}, Offsets: []int64{2, 3}, Next: 4}, testNow)
+	f.take(Batch{Records: []jobs.Record{{Key: "9"}}, Offsets: []int64{9}, Next: 10}, testNow)
+	is.Equal(seen, []string{"2", "3"})
+	is.Equal(f.next, int64(4))
+}
--- /dev/null
+++ b/jobs/jobs_test.go
@@ -0,0 +1,132 @@
+package jobs
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func exampleSubmission(id string) *Submission {
+	return &Submission{ID: id, Queue: Queue{Name: "q"}, Steps: []Step{{Tasks: 2}}}
+}
+
+func applied(t interface{ Fatal(...any) }, table *Table, record Record, part int, offset int64) {
+	if _, err := table.Apply(record, part, offset); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func mustRecord(t interface{ Fatal(...any) }, record Record, err error) Record {
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
+func TestProgressRoundTrip(t *testing.T) {
+	is := is.New(t)
+	progress := &Progress{State: StateRunning, Tasks: []TaskProgress{{Flat: 3, Run: 2, Failed: 1, Judged: 1, Worker: "w", Checkpoint: "c"}}}
+	progress.Done.Set(0)
+	progress.Done.Set(17)
+	record := mustRecord(t, mustProgress(t, "a", progress), nil)
+	decoded, err := DecodeProgress(record.Value)
+	is.NoErr(err)
+	is.Equal(decoded, progress)
+	is.True(decoded.Done.Has(17))
+	is.True(!decoded.Done.Has(16))
+	is.True(!decoded.Done.Has(200))
+}
+
+func mustProgress(t interface{ Fatal(...any) }, id string, progress *Progress) Record {
+	record, err := ProgressRecord(id, progress)
+	return mustRecord(t, record, err)
+}
+
+// A cancellation that came too late for a final state changes nothing.
+func TestFinalStateStandsAgainstLateCancel(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	submission, err := SubmissionRecord(exampleSubmission("a"))
+	applied(t, table, mustRecord(t, submission, err), 1, 0)
+	applied(t, table, CancelRecord("a"), 2, 0)
+	is.Equal(table.Job("a").State(), StateCancelled)
+	applied(t, table, mustProgress(t, "a", &Progress{State: StateDone}), 0, 5)
+	is.Equal(table.Job("a").State(), StateDone)
+}
+
+// A tail that is behind the page of newest records does not set a job back.
+func TestOlderProgressIsIgnored(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	submission, err := SubmissionRecord(exampleSubmission("a"))
+	applied(t, table, mustRecord(t, submission, err), 1, 0)
+	applied(t, table, mustProgress(t, "a", &Progress{State: StateDone}), 0, 9)
+	applied(t, table, mustProgress(t, "a", &Progress{State: StateRunning}), 0, 4)
+	is.Equal(table.Job("a").State(), StateDone)
+}
+
+func TestTermNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for offset, term := range []Term{{Epoch: 3, Holder: "x"}, {Epoch: 2, Holder: "y"}} {
+		record, err := TermRecord(term)
+		applied(t, table, mustRecord(t, record, err), 0, int64(offset))
+	}
+	is.Equal(table.Term().Holder, "x")
+}
+
+func TestForgottenJobsAreGone(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	submission, err := SubmissionRecord(exampleSubmission("a"))
+	applied(t, table, mustRecord(t, submission, err), 1, 0)
+	applied(t, table, mustProgress(t, "a", &Progress{State: StateDone}), 0, 0)
+	for offset, record := range ForgetCallRecords("a") {
+		applied(t, table, record, 1, int64(offset+1))
+	}
+	is.True(table.Job("a") != nil) // a second copy of the submission meets the progress
+	applied(t, table, ForgetProgressRecord("a"), 0, 1)
+	is.True(table.Job("a") == nil)
+}
+
+// Parts are read apart from each other: whatever their interleaving, the fold
+// ends the same.
+func TestFoldDoesNotDependOnInterleaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		submission, err := SubmissionRecord(exampleSubmission("a"))
+		calls := []Record{mustRecord(t, submission, err), CancelRecord("a")}
+		progress := []Record{
+			mustProgress(t, "a", &Progress{State: StateRunning}),
+			mustProgress(t, "a", &Progress{State: StateFailed, Reason: "r"}),
+		}
+		table := NewTable()
+		next := [2]int{}
+		for next[0] < len(calls) || next[1] < len(progress) {
+			part := rapid.IntRange(0, 1).Draw(t, "part")
+			stream := [][]Record{calls, progress}[part]
+			if next[part] == len(stream) {
+				continue
+			}
+			applied(t, table, stream[next[part]], 1-part, int64(next[part]))
+			next[part]++
+		}
+		if state := table.Job("a").State(); state != StateFailed {
+			t.Fatal(state)
+		}
+	})
+}
+
+func FuzzRecords(f *testing.F) {
+	f.Add("p/a", []byte(`r{"t":[[0,1,0,0,"w",""]]}`))
+	f.Add("s/a", []byte(`{"id":"a","t":[{"n":1}]}`))
+	f.Add("term", []byte(`{"e":1,"h":"x"}`))
+	f.Fuzz(func(_ *testing.T, key string, value []byte) {
+		table := NewTable()
+		if _, err := table.Apply(Record{Key: key, Value: value}, 0, 0); err == nil {
+			table.All()
+			table.Counts()
+		}
+		_, _ = DecodeProgress(value)
+	})
+}
