Work that is not urgent keeps to racks in use

Cause: an urgent gang that must lie in one rack found every rack partly taken by low-priority tasks, and had them stopped. Ruled out: choosing other victims; their loss is least already. Change: seats for work that is not urgent prefer racks that are fuller.

--- a/placing/fit.go
+++ b/placing/fit.go
@@ -9,9 +9,10 @@
 // view is the capacity that placements of one pass may count on. Nodes are
 // numbered by node.at; it is worked on and thrown away.
 type view struct {
-	nodes []*node
-	free  []jobs.Resources // by node.at
-	racks [][]*node        // nodes by rack, racks in the order of their names
+	nodes  []*node
+	free   []jobs.Resources // by node.at
+	racks  [][]*node        // nodes by rack, racks in the order of their names
+	rackOf []int            // by node.at: position in racks
 	// failed holds, for kinds of steps that found no seats in this pass, the
 	// smallest number of tasks that failed. Capacity only shrinks in a pass.
 	failed map[kind]int
@@ -40,6 +41,12 @@
 		v.racks[rack] = append(v.racks[rack], node)
 	}
 	sort.Slice(v.racks, func(a, b int) bool { return v.racks[a][0].entry.Rack < v.racks[b][0].entry.Rack })
+	v.rackOf = make([]int, len(nodes))
+	for rack, members := range v.racks {
+		for _, node := range members {
+			v.rackOf[node.at] = rack
+		}
+	}
 	return v
 }
 
@@ -261,6 +268,10 @@
 	need := unit.step.need()
 	var options []option
 	room := 0
+	var spares []float64
+	if len(nodes) == len(v.nodes) {
+		spares = v.rackWeights(unit) // within one rack it makes no difference
+	}
 	for _, node := range nodes {
 		count := v.seats(node, unit.step, need, len(unit.tasks))
 		if count == 0 || !node.serves(unit) {
@@ -270,15 +281,42 @@
 		if node.health.wary {
 			weight += probationWeight
 		}
+		if spares != nil {
+			weight += spares[v.rackOf[node.at]]
+		}
 		options = append(options, option{node: node, count: count, weight: weight})
 		room += count
 	}
 	return options, room
 }
 
+// rackWeights makes work that is not urgent keep to racks that are in use, so
+// that an urgent gang mostly finds one where nothing has to be stopped for it.
+// It is nil for urgent work.
+func (v *view) rackWeights(unit *unit) []float64 {
+	if unit.job.queue.Priority == 0 {
+		return nil
+	}
+	weights := make([]float64, len(v.racks))
+	for index, rack := range v.racks {
+		free, whole := 0.0, 0.0
+		for _, node := range rack {
+			free += cores(v.free[node.at])
+			whole += cores(node.entry.Capacity)
+		}
+		if whole > 0 {
+			weights[index] = sparedRackWeight * free / whole
+		}
+	}
+	return weights
+}
+
+// sparedRackWeight is above every tightness of a node.
+const sparedRackWeight = 5
+
 // probationWeight is above every tightness, so that workers on probation are
 // taken only where nothing else fits.
-const probationWeight = 10
+const probationWeight = 20
 
 // tightness is the free share of the node, accelerators counting twice as they
 // are what large tasks lack first. Least comes first, so that large holes stay
