--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -17,6 +17,11 @@
 	// checkpointLoss is the work lost by stopping a task that saves its state,
 	// which it also does at the stop.
 	checkpointLoss = 300 * time.Millisecond
+	// lossFactor bounds what may be thrown away for an urgent job beyond its
+	// workspace's guarantee, as a multiple of its worth in core-seconds. The users
+	// value an urgent core-second about six times as much as one thrown away, and
+	// what is stopped comes later too.
+	lossFactor = 4
 	// roomAgain is the pause before room is looked for again for a step that
 	// found none, as the search is the dearest of all.
 	roomAgain = 100 * time.Millisecond
@@ -54,7 +59,7 @@
 		return
 	}
 	chosen, seats := e.choose(unit, coming, now)
-	if seats == nil {
+	if seats == nil || !e.worthIt(unit, chosen) {
 		unit.step.roomAfter = now.Add(roomAgain)
 		return
 	}
@@ -305,3 +310,31 @@
 	}
 	return worked.Seconds() * cores(r.task.step.spec.Need)
 }
+
+// worthIt allows any loss inside the workspace's guarantee, and beyond it what
+// the job's own worth covers.
+func (e *Engine) worthIt(unit *unit, chosen []victim) bool {
+	lost := 0.0
+	for _, victim := range chosen {
+		lost += victim.loss
+	}
+	own := e.work(unit.job, unit.occurrence, false)
+	worth := baseWorth*e.meanWork(unit.job, own) + workWorth*own
+	return lost <= lossFactor*worth || e.guaranteed(unit.job)
+}
+
+// guaranteed reports whether the unfinished urgent jobs of the job's workspace
+// need no more accelerators together than it is guaranteed.
+func (e *Engine) guaranteed(job *job) bool {
+	need := int64(0)
+	for _, other := range e.active {
+		if other.queue.Priority != 0 || other.submission.Workspace != job.submission.Workspace || other.state.Final() {
+			continue
+		}
+		for index := range other.submission.Steps {
+			step := &other.submission.Steps[index]
+			need += int64(step.Tasks) * step.Need.Accelerators
+		}
+	}
+	return need <= e.guarantees[job.submission.Workspace]
+}
