No appends into a store that left one open; idle instances read less

Ruled out: a longer wait for the answer; the connections were reset. Change: after an append whose fate is open nothing is sent until the store has answered a read, so refusals stay true and at once; jobs that are not urgent are told two seconds at the beginning of an outage, as four tries a second apart would be over; three instances watch the term closely whatever their number, reads of callers' parts wait four seconds except at the holder.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -194,3 +194,25 @@
 	is.Equal(seen, []string{"2", "3"})
 	is.Equal(f.next, int64(4))
 }
+
+// After an append whose fate stayed open, nothing is sent until the store has
+// answered again: callers are told truthfully that their job did not run.
+func TestDoubtfulStoreIsNotWrittenTo(t *testing.T) {
+	is := is.New(t)
+	committer := startCommitter(t, &scriptedStore{results: []error{ErrUnknown, ErrUnknown}})
+	before := committer.clock.Now()
+	is.True(!committer.doubtful(before))
+	is.Equal(committer.write(context.Background(), jobs.CancelRecord("a")), ErrUnknown)
+	for committer.lostAt.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(committer.doubtful(before))
+	is.True(!committer.doubtful(committer.clock.Now().Add(time.Millisecond)))
+}
+
+func TestComeBackLaterEarlyInAnOutage(t *testing.T) {
+	is := is.New(t)
+	is.Equal(comeBack(0, 0), retryAway)
+	is.Equal(comeBack(1, 0), retryEarly)
+	is.Equal(comeBack(1, youngOutage), retryAway)
+}
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -60,12 +60,20 @@
 	ring     *ring.Ring[*commit]
 	patience patience
 	sentAt   atomic.Int64 // steady nanoseconds of the append on its way; 0 for none
+	lostAt   atomic.Int64 // steady nanoseconds of the last append whose fate stayed open
 }
 
 func newCommitter(store Store, clock *Clock, part int) *committer {
 	return &committer{store: store, clock: clock, part: part, ring: ring.New[*commit](commitRing)}
 }
 
+// doubtful reports whether an append got no answer and the store has answered
+// nothing since; heardAt is when it last did. What is sent then would mostly be
+// open too, and callers cannot be told that it did not run.
+func (c *committer) doubtful(heardAt time.Time) bool {
+	return heardAt.UnixNano() <= c.lostAt.Load()
+}
+
 // write appends a record and waits for its fate. ErrNotDone says that it never
 // takes effect; ErrUnknown that it may.
 func (c *committer) write(ctx context.Context, record jobs.Record) error {
@@ -102,6 +110,9 @@
 		c.sentAt.Store(c.clock.Now().UnixNano())
 		err := c.append(ctx, group)
 		c.sentAt.Store(0)
+		if errors.Is(err, ErrUnknown) {
+			c.lostAt.Store(c.clock.Now().UnixNano())
+		}
 		for _, member := range group {
 			member.result <- err
 		}
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -26,7 +26,10 @@
 	// progressWait is how long a read waits for a record where the holder of the
 	// term writes. A silent holder is noticed at the end of such a wait.
 	progressWait = 600 * time.Millisecond
-	// quietWait is the same where only callers or operators write. A read on a
+	// callsWait is the same where callers write, on instances that do not place:
+	// what is asked for is read at once, so a silent connection delays nothing.
+	callsWait = 4 * time.Second
+	// quietWait is the same where only operators write. A read on a
 	// connection that has gone silent is given up readSlack after it, which must
 	// leave room in the two seconds in which a configuration comes into force.
 	quietWait = time.Second
@@ -43,7 +46,7 @@
 	apply  func(Batch)          // called in order, under lock
 	reset  func()               // called before newest records are read again
 	gap    func() time.Duration // pause after a read that brought records
-	wait   time.Duration        // how long a read may wait for one
+	wait   func() time.Duration // how long a read may wait for one
 
 	lock     *sync.Mutex // held while records are applied; may be shared
 	next     int64
@@ -74,7 +77,7 @@
 		return f.load(ctx)
 	}
 	sent := f.clock.Now()
-	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), f.wait)
+	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), f.wait())
 	if errors.Is(err, ErrForgotten) {
 		f.log.WithField("stream", string(f.stream)).Info("history_forgotten")
 		return f.load(ctx)
@@ -179,6 +182,13 @@
 	return f.loaded && f.failures < failuresAway && f.clock.Now().Sub(f.contact) < contactStale
 }
 
+// awayFor is how long ago the last answered read was sent.
+func (f *follower) awayFor() time.Duration {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.clock.Now().Sub(f.contact)
+}
+
 // heardAt is when the newest read was answered.
 func (f *follower) heardAt() time.Time {
 	f.lock.Lock()
--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -108,7 +108,7 @@
 // write appends a caller's record, here or through another instance.
 func (i *Instance) write(ctx context.Context, record jobs.Record) error {
 	err := ErrNotDone
-	if i.loaded() && i.work.inContact() {
+	if i.mayWrite() {
 		err = i.committer.write(ctx, record)
 	}
 	if err == nil {
@@ -125,6 +125,11 @@
 	return helped
 }
 
+// mayWrite reports whether appends from here are likely to be answered.
+func (i *Instance) mayWrite() bool {
+	return i.loaded() && i.work.inContact() && !i.committer.doubtful(i.work.heardAt())
+}
+
 func (i *Instance) helperAddresses() []string {
 	i.foldLock.Lock()
 	known := i.fold.table.Instances()
@@ -144,7 +149,7 @@
 }
 
 func (i *Instance) relayedWrite(ctx context.Context, write *relaypb.Write) relaypb.Fate {
-	if !i.loaded() || !i.work.inContact() {
+	if !i.mayWrite() {
 		return relaypb.Fate_FATE_NOT_DONE
 	}
 	err := i.committer.write(ctx, jobs.Record{Key: write.Key, Value: write.Value})
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -26,7 +26,8 @@
 	// watchfulPause replaces it on the instances that would claim a vacant term
 	// first, as they must notice that its holder is silent.
 	watchfulPause = 200 * time.Millisecond
-	watchfulRank  = claimSpread / 2
+	// watchfulCount is how many instances read so often, on average.
+	watchfulCount = 3
 	// callsPause is the same for what callers wrote; the count of waiting jobs
 	// may be two seconds old.
 	callsPause = 1500 * time.Millisecond
@@ -89,9 +90,9 @@
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, quietWait)
 	i.operator.apply = i.applyConfig
 	i.operator.gap = func() time.Duration { return configPause }
-	i.work = i.newWorkFollower(progressPart, progressWait)
+	i.work = i.newWorkFollower(progressPart)
 	for part := 1; part <= min(callParts, settings.StoreParts-1); part++ {
-		i.calls = append(i.calls, i.newWorkFollower(part, quietWait))
+		i.calls = append(i.calls, i.newWorkFollower(part))
 	}
 	i.kernel.AddDuty("configuration", i.operator.run)
 	i.kernel.AddDuty("work", i.work.run)
@@ -105,17 +106,28 @@
 }
 
 func (i *Instance) newFollower(stream Stream, part int, lock *sync.Mutex, wait time.Duration) *follower {
-	return &follower{store: i.store, stream: stream, part: part, log: i.log, clock: i.clock, lock: lock, wait: wait}
+	return &follower{store: i.store, stream: stream, part: part, log: i.log, clock: i.clock, lock: lock, wait: func() time.Duration { return wait }}
 }
 
 // newWorkFollower follows one part of the work stream; all share one fold.
-func (i *Instance) newWorkFollower(part int, wait time.Duration) *follower {
-	made := i.newFollower(StreamWork, part, &i.foldLock, wait)
+func (i *Instance) newWorkFollower(part int) *follower {
+	made := i.newFollower(StreamWork, part, &i.foldLock, progressWait)
 	made.apply = func(batch Batch) { i.fold.apply(part, batch) }
 	made.gap = func() time.Duration { return i.workPause(part) }
+	made.wait = func() time.Duration { return i.workWait(part) }
 	return made
 }
 
+// workWait is how long a read of a part may wait for records. The holder of the
+// term waits shortly everywhere, as a connection that has gone silent would hide
+// new jobs from it.
+func (i *Instance) workWait(part int) time.Duration {
+	if part == progressPart || i.fold.watching.Load() {
+		return progressWait
+	}
+	return callsWait
+}
+
 func (i *Instance) workPause(part int) time.Duration {
 	if i.fold.watching.Load() {
 		return holderPause
@@ -123,12 +135,21 @@
 	if part != progressPart {
 		return callsPause
 	}
-	if claimRank(i.nameHash, i.settings.CPUShare) < watchfulRank {
+	if i.watchful() {
 		return watchfulPause
 	}
 	return standbyPause
 }
 
+// watchful reports whether this is one of the instances that claim a vacant
+// term first: a few, by rank, however many there are.
+func (i *Instance) watchful() bool {
+	i.foldLock.Lock()
+	count := max(1, i.fold.table.InstanceCount())
+	i.foldLock.Unlock()
+	return claimRank(i.nameHash, i.settings.CPUShare) < watchfulCount*claimSpread/time.Duration(count)
+}
+
 func (i *Instance) limits() placing.Limits {
 	return placing.Limits{
 		Lease:        i.settings.Lease,
--- a/batch/serve.go
+++ b/batch/serve.go
@@ -31,8 +31,14 @@
 
 const (
 	// retryAway is told while the store answers neither here nor at the other
-	// instances that were asked: outages last seconds.
+	// instances that were asked: outages last three to seven seconds, and callers
+	// come back four times.
 	retryAway = time.Second
+	// retryEarly replaces it in the first youngOutage of an outage, for jobs that
+	// are not urgent: their objective leaves time, and four tries a second apart
+	// would be over before the store is back.
+	retryEarly  = 2 * time.Second
+	youngOutage = 2 * time.Second
 	// freshEnough is how old the fold may be for a state to be told from it, and
 	// freshTimeout what reading it anew may take.
 	freshEnough  = 60 * time.Millisecond
@@ -65,7 +71,7 @@
 	case err == nil:
 		return Outcome{Verdict: Accepted, Reason: "stored"}
 	case errors.Is(err, ErrNotDone):
-		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: retryAway}
+		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: comeBack(submission.Queue.Priority, i.work.awayFor())}
 	}
 	if i.known(submission.ID) {
 		return Outcome{Verdict: Accepted, Reason: "read back"}
@@ -73,6 +79,14 @@
 	return Outcome{Verdict: Undecided, Reason: "store did not answer", RetryAfter: retryAway}
 }
 
+// comeBack is when the caller of a refused submission is to come back.
+func comeBack(priority int, away time.Duration) time.Duration {
+	if priority > 0 && away < youngOutage {
+		return retryEarly
+	}
+	return retryAway
+}
+
 // Cancel ends a job.
 func (i *Instance) Cancel(ctx context.Context, id string) Outcome {
 	outcome := i.cancelJob(ctx, id)
