--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -138,6 +138,9 @@
 	f.t.Fatalf("never came: %s", what)
 }
 
+// caller gives up after the deadline that it states, also on a frozen instance.
+var caller = &http.Client{Timeout: 4 * time.Second}
+
 // call sends a client's call and returns the status and the body. A status of 0
 // says that no answer came.
 func (f *fleet) call(instance *frontInstance, method, id, key, body string) (int, string) {
@@ -148,7 +151,7 @@
 	request.Host = "wear.example"
 	request.Header.Set("X-Api-Key", key)
 	request.Header.Set("X-Teaselcleat-Deadline-Ms", "3000")
-	response, err := http.DefaultClient.Do(request)
+	response, err := caller.Do(request)
 	if err != nil {
 		return 0, ""
 	}
--- /dev/null
+++ b/e2e/soak_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/standin"
+)
+
+// soakRounds is how many mishaps the soak plays; CI plays few, a long run by
+// hand is `go test ./e2e -run Soak -soak.rounds 300 -soak.seed N`.
+var (
+	soakRounds = flag.Int("soak.rounds", 8, "mishaps in the fault soak")
+	soakSeed   = flag.Uint64("soak.seed", 1, "seed of the fault soak")
+)
+
+// soak is a fleet under mishaps with jobs handed in all the while.
+type soak struct {
+	*fleet
+	random   *rand.Rand
+	accepted []string
+	unknown  []string // may or may not have been accepted
+	refused  []string // told that they never run
+	next     int
+}
+
+// Kills, freezes, planned stops, outages and lost answers of the store, one
+// after the other: every accepted job ends as done, every refused one is never
+// started, and no task is started again after it was done.
+func TestPlatformSoak(t *testing.T) {
+	s := &soak{fleet: newFleet(t, 3, 4), random: rand.New(rand.NewPCG(*soakSeed, 2))}
+	for round := range *soakRounds {
+		s.submit(3)
+		s.mishap(round)
+		s.submit(2)
+	}
+	s.store.SetFaults(standin.StoreFaults{})
+	s.waitReady()
+	for _, id := range s.accepted {
+		s.until("done: "+id, func() bool { return s.state(s.live(), id) == "done" })
+	}
+	for _, id := range s.refused {
+		if starts := s.starts(id + ".0.0.0"); starts > 0 {
+			t.Errorf("job %s was refused as never to run, and started", id)
+		}
+	}
+	for _, id := range append(s.accepted, s.unknown...) {
+		s.checkStarts(id)
+	}
+}
+
+// checkStarts allows a task more than one start only if an earlier run did not
+// end as done: here none fails, so only runs that were stopped repeat.
+func (s *soak) checkStarts(id string) {
+	done := 0
+	for _, worker := range s.workers {
+		done += worker.Done(id + ".0.1.0")
+	}
+	if done > 1 {
+		s.t.Errorf("a task of %s was done %d times", id, done)
+	}
+}
+
+func (s *soak) live() *frontInstance {
+	for {
+		instance := s.instances[s.random.IntN(len(s.instances))]
+		if instance.command.ProcessState == nil {
+			return instance
+		}
+	}
+}
+
+func (s *soak) submit(count int) {
+	for range count {
+		s.next++
+		id := fmt.Sprintf("%016x", s.next)
+		switch status, _ := s.call(s.live(), http.MethodPost, id, "key-a", gangJob); status {
+		case http.StatusOK:
+			s.accepted = append(s.accepted, id)
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			s.refused = append(s.refused, id)
+		default:
+			s.unknown = append(s.unknown, id)
+		}
+	}
+}
+
+func (s *soak) mishap(round int) {
+	victim := s.random.IntN(len(s.instances))
+	switch round % 5 {
+	case 0:
+		s.replace(victim, syscall.SIGKILL)
+	case 1:
+		s.store.SetFaults(standin.StoreFaults{LoseAnswers: 3, Keep: 20})
+	case 2:
+		s.instances[victim].command.Process.Signal(syscall.SIGSTOP)
+		s.submit(2)
+		time.Sleep(time.Duration(s.random.IntN(2500)) * time.Millisecond)
+		s.instances[victim].command.Process.Signal(syscall.SIGCONT)
+	case 3:
+		s.store.SetFaults(standin.StoreFaults{Down: true})
+		s.submit(2)
+		time.Sleep(time.Duration(s.random.IntN(1500)) * time.Millisecond)
+		s.store.SetFaults(standin.StoreFaults{Keep: 5})
+	case 4:
+		s.replace(victim, syscall.SIGTERM)
+	}
+}
+
+// replace ends an instance by a signal and starts one of the same name.
+func (s *soak) replace(victim int, signal syscall.Signal) {
+	old := s.instances[victim]
+	old.command.Process.Signal(signal)
+	// How a killed process ended is known.
+	_ = old.command.Wait()
+	s.startInstance(old.name)
+	s.instances = append(s.instances[:victim], s.instances[victim+1:]...)
+}
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -27,6 +27,7 @@
 	number  int64
 	changed chan struct{}
 	starts  map[string]int // starts of each task
+	done    map[string]int // ends as done of each task
 	router  *mux.Router
 }
 
@@ -44,7 +45,7 @@
 // NewTaskWorker returns an idle worker.
 func NewTaskWorker(id string, runTime time.Duration) *TaskWorker {
 	w := &TaskWorker{ID: id, RunTime: runTime, start: time.Now(), running: map[string]*taskRun{},
-		highest: map[string]int{}, changed: make(chan struct{}), starts: map[string]int{}, router: mux.NewRouter()}
+		highest: map[string]int{}, changed: make(chan struct{}), starts: map[string]int{}, done: map[string]int{}, router: mux.NewRouter()}
 	w.router.HandleFunc("/api/run-start", w.serveStart).Methods(http.MethodPost)
 	w.router.HandleFunc("/api/run-stop", w.serveStop).Methods(http.MethodPost)
 	w.router.HandleFunc("/api/hold", w.serveHold).Methods(http.MethodPost)
@@ -67,6 +68,13 @@
 	return w.starts[task]
 }
 
+// Done is how often a task ended as done here.
+func (w *TaskWorker) Done(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.done[task]
+}
+
 // Running is the number of tasks at work.
 func (w *TaskWorker) Running() int {
 	w.mu.Lock()
@@ -148,6 +156,9 @@
 	delete(w.running, task)
 	w.highest[task] = max(w.highest[task], run.run)
 	w.number++
+	if how == "done" {
+		w.done[task]++
+	}
 	w.ends = append(w.ends, taskEnd{w.number, []any{w.number, task, run.run, how, ""}})
 	close(w.changed)
 	w.changed = make(chan struct{})
