--- a/batch/instance.go
+++ b/batch/instance.go
@@ -152,14 +152,11 @@
 
 func (i *Instance) limits() placing.Limits {
 	return placing.Limits{
-		Lease:        i.settings.Lease,
-		StopWithin:   i.settings.StopWithin,
-		GangWait:     i.settings.GangWait,
-		Reclaim:      i.settings.Reclaim,
-		KeepEnded:    i.settings.KeepEnded,
-		Restore:      i.settings.Restore,
-		RemoteFactor: i.settings.RemoteFactor,
-		HolderGone:   holderGone,
+		Lease:      i.settings.Lease,
+		StopWithin: i.settings.StopWithin,
+		Reclaim:    i.settings.Reclaim,
+		KeepEnded:  i.settings.KeepEnded,
+		HolderGone: holderGone,
 	}
 }
 
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -320,41 +320,6 @@
 	l.start(ctx, func(ctx context.Context) { link.startRun(ctx, order) })
 }
 
-// expire drops the records of jobs whose time of being known is over. What
-// fails is left for a later holder of the term.
-func (l *leader) expire(ctx context.Context, ids []string) {
-	for _, id := range ids {
-		if err := l.expireJob(ctx, id); err != nil {
-			l.log.WithField("job", id).WithField("error", err.Error()).Warn("records_kept")
-		}
-	}
-}
-
-func (l *leader) expireJob(ctx context.Context, id string) error {
-	i := l.instance
-	i.foldLock.Lock()
-	job := i.fold.table.Job(id)
-	i.foldLock.Unlock()
-	if job == nil {
-		return nil
-	}
-	for part := range i.settings.StoreParts {
-		if job.Parts&(1<<part) == 0 {
-			continue
-		}
-		if err := l.drop(ctx, part, jobs.ForgetCallRecords(id)); err != nil {
-			return err
-		}
-	}
-	return l.drop(ctx, progressPart, []jobs.Record{jobs.ForgetProgressRecord(id)})
-}
-
-func (l *leader) drop(ctx context.Context, part int, records []jobs.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, patienceMost)
-	defer cancel()
-	return l.instance.store.Append(ctx, part, records, nil)
-}
-
 func (l *leader) logNote(note placing.Note) {
 	fields := logrus.Fields{}
 	if note.Job != "" {
@@ -381,63 +346,3 @@
 	}
 	l.log.Info("term_handed_over")
 }
-
-// claimTerm tries to win the next term. Whether it was won, the fold tells.
-func (i *Instance) claimTerm(ctx context.Context, current jobs.Term) {
-	if i.claimed.Epoch <= current.Epoch {
-		i.claimed = jobs.Term{Epoch: current.Epoch + 1, Holder: i.holder}
-		i.claimSequence = i.randomSequence()
-	}
-	record, err := jobs.TermRecord(i.claimed)
-	if err != nil {
-		i.log.WithField("error", err.Error()).Error("term_record")
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, claimAgain)
-	defer cancel()
-	fence := &Fence{Epoch: i.claimed.Epoch, Sequence: i.claimSequence}
-	err = i.store.Append(ctx, progressPart, []jobs.Record{record}, fence)
-	i.log.WithField("epoch", i.claimed.Epoch).WithField("former", current.Holder).WithField("result", errorText(err)).Info("term_claimed")
-	if err == nil {
-		i.refreshTerm(ctx)
-	}
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return "ok"
-	}
-	return err.Error()
-}
-
-// placingDuty claims the term when it is vacant and leads while it is held.
-func (i *Instance) placingDuty(ctx context.Context) {
-	vote := newElection(i.settings.Name, i.holder, claimRank(i.nameHash, i.settings.CPUShare))
-	for ctx.Err() == nil {
-		select {
-		case <-i.fold.signal:
-		case <-time.After(leadTick):
-		}
-		if ctx.Err() != nil || i.draining.Load() {
-			logstream.Sleep(ctx, leadTick)
-			continue
-		}
-		now := i.clock.Now()
-		if !i.loaded() || !i.work.inContact() || i.Config() == nil {
-			vote.lost()
-			continue
-		}
-		before := vote.term
-		vote.see(i.term(), now)
-		if vote.held() && vote.term.Epoch == i.claimed.Epoch {
-			handedOver := before.Holder == "" && before.Epoch == vote.term.Epoch-1
-			i.lead(ctx, vote.term, i.claimSequence, handedOver)
-			vote.lost()
-			i.claimed = jobs.Term{}
-			continue
-		}
-		if vote.claim(i.work.heardAt(), now) {
-			i.claimTerm(ctx, vote.term)
-		}
-	}
-}
--- a/batch/settings.go
+++ b/batch/settings.go
@@ -5,20 +5,13 @@
 // Settings is what an instance is told about itself and the deployment's
 // bounds. Names and addresses come from the platform's file.
 type Settings struct {
-	Name             string
-	CPUShare         float64 // of a core that the machine gives; 0 if unknown
-	AvailabilityZone string
-	Lease            time.Duration // longest lease a worker grants
-	StopWithin       time.Duration // longest time a stop takes
-	GangWait         time.Duration // how long a gang's member waits for the others
-	Reclaim          time.Duration // within which guaranteed urgent jobs begin
-	WorkerHeartbeat  time.Duration // between a worker's entries in the list
-	KeepEnded        time.Duration // how long an ended job stays known
-	Grace            time.Duration // from the order to stop until the kill
-	CheckpointEvery  time.Duration
-	Restore          time.Duration // what resuming costs
-	Early            time.Duration // how much before its time a job may start
-	RemoteFactor     float64       // how much longer a task takes away from its rack
-	RelayAddress     string        // IP:PORT for the calls of other instances; empty for none
-	StoreParts       int           // parts that a stream of the store has
+	Name         string
+	CPUShare     float64       // of a core that the machine gives; 0 if unknown
+	Lease        time.Duration // longest lease a worker grants
+	StopWithin   time.Duration // longest time a stop takes
+	Reclaim      time.Duration // within which guaranteed urgent jobs begin
+	KeepEnded    time.Duration // how long an ended job stays known
+	Grace        time.Duration // from the order to stop until the kill
+	RelayAddress string        // IP:PORT for the calls of other instances; empty for none
+	StoreParts   int           // parts that a stream of the store has
 }
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -9,13 +9,10 @@
 
 // Limits are what the deployment states, and the instance passes on.
 type Limits struct {
-	Lease        time.Duration // longest lease of what runs on a worker
-	StopWithin   time.Duration // longest time a stop takes
-	GangWait     time.Duration // how long a member waits for its gang
-	Reclaim      time.Duration // within which guaranteed urgent jobs begin
-	KeepEnded    time.Duration // how long an ended job stays known
-	Restore      time.Duration // what resuming from a saved state costs
-	RemoteFactor float64       // how much longer a task takes away from its rack
+	Lease      time.Duration // longest lease of what runs on a worker
+	StopWithin time.Duration // longest time a stop takes
+	Reclaim    time.Duration // within which guaranteed urgent jobs begin
+	KeepEnded  time.Duration // how long an ended job stays known
 	// HolderGone is when a holder of the term that lost the store gives up for
 	// certain; leases it granted until then may run on.
 	HolderGone time.Duration
@@ -40,6 +37,7 @@
 	pending     []*run // placed, their record not yet sent
 	recording   []*run // placed, their record on its way
 	changed     []*job // dirty, in order
+	groupLimit  int    // bytes of records that end a group
 	inFlight    bool   // a batch of records is on its way
 	ackPending  map[*node]int64
 	ackFlight   map[*node]int64
@@ -56,6 +54,7 @@
 		limits:     limits,
 		epoch:      epoch,
 		wallMS:     wallMS,
+		groupLimit: groupBytes,
 		jobs:       map[string]*job{},
 		nodes:      map[string]*node{},
 		queues:     map[string]jobs.Queue{},
@@ -227,14 +226,36 @@
 		e.releaseAcks()
 		return
 	}
+	e.recordChanged()
+	var later []*run
+	for _, run := range e.pending {
+		if run.task.step.job.dirty {
+			later = append(later, run)
+		} else {
+			e.recording = append(e.recording, run)
+		}
+	}
+	e.pending = later
+	if len(e.changed) == 0 {
+		e.ackFlight, e.ackPending = e.ackPending, map[*node]int64{}
+	}
+	e.inFlight = true
+}
+
+// recordChanged writes the changed jobs down, as many as one group may hold.
+func (e *Engine) recordChanged() {
+	bytes, count := 0, 0
 	for _, job := range e.changed {
+		if bytes > e.groupLimit {
+			break
+		}
+		record := job.record()
+		bytes += len(record.Value)
+		count++
 		job.dirty = false
-		e.plan.Records = append(e.plan.Records, job.record())
+		e.plan.Records = append(e.plan.Records, record)
 	}
-	e.changed = nil
-	e.recording, e.pending = e.pending, nil
-	e.ackFlight, e.ackPending = e.ackPending, map[*node]int64{}
-	e.inFlight = true
+	e.changed = append([]*job(nil), e.changed[count:]...)
 }
 
 // Recorded says that the records of the last plan that had some are durable.
@@ -291,6 +312,9 @@
 }
 
 const (
+	// groupBytes ends a group of records; the store takes 2 MB in one append, and
+	// the largest record is about 150 KB.
+	groupBytes = 1 << 20
 	// forgetEvery is how many decisions lie between two looks for jobs to
 	// forget; decisions come every 25 ms to 100 ms.
 	forgetEvery = 256
--- a/placing/engine_test.go
+++ b/placing/engine_test.go
@@ -10,13 +10,11 @@
 )
 
 var testLimits = Limits{
-	Lease:        6 * time.Second,
-	StopWithin:   900 * time.Millisecond,
-	GangWait:     3 * time.Second,
-	Reclaim:      3 * time.Second,
-	KeepEnded:    120 * time.Second,
-	RemoteFactor: 3,
-	HolderGone:   9 * time.Second,
+	Lease:      6 * time.Second,
+	StopWithin: 900 * time.Millisecond,
+	Reclaim:    3 * time.Second,
+	KeepEnded:  120 * time.Second,
+	HolderGone: 9 * time.Second,
 }
 
 var testStart = time.Unix(1_000_000, 0)
@@ -112,3 +110,31 @@
 	e.Report("w1", later, nil, []EndedTask{end}, time.Time{}, later)
 	is.Equal(e.jobs[submission.ID].state, jobs.StateDone)
 }
+
+// A group of records has a limit; what does not fit comes with the next one,
+// and no run starts before its own record is durable.
+func TestStartsWaitForTheirOwnRecord(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(1)
+	e.groupLimit = 1
+	e.Load(nil, true, testStart)
+	e.List([]WorkerEntry{testWorker("w1", "r1-1")}, testStart)
+	e.Report("w1", testStart, nil, nil, time.Time{}, testStart)
+	for index := range 3 {
+		e.Learn(&jobs.Job{Submission: testJob(hexID(index+1), 1, testStep(1, 1))}, testStart)
+	}
+	started, durable := map[string]bool{}, map[string]bool{}
+	for range 5 {
+		plan := e.Decide(testStart)
+		is.True(len(plan.Records) <= 1)
+		for _, start := range plan.Starts {
+			is.True(durable["p/"+start.Task.Job])
+			started[start.Task.Job] = true
+		}
+		for _, record := range plan.Records {
+			durable[record.Key] = true
+		}
+		e.Recorded(testStart)
+	}
+	is.Equal(len(started), 3)
+}
--- a/placing/job.go
+++ b/placing/job.go
@@ -23,11 +23,9 @@
 
 // occurrence is one run of the steps of a job.
 type occurrence struct {
-	dueMS  int64 // time of day; 0: at once
-	due    bool  // its time has come
-	steps  []*step
-	left   int // tasks not done
-	doneAt time.Time
+	dueMS int64 // time of day; 0: at once
+	steps []*step
+	left  int // tasks not done
 }
 
 // step is one step of an occurrence. A gang's tasks are placed, ended and
--- a/placing/world_workers_test.go
+++ b/placing/world_workers_test.go
@@ -122,6 +122,9 @@
 	return list
 }
 
+// modelGangWait is how long a member waits for its gang.
+const modelGangWait = 3 * time.Second
+
 // workGang ends a gang's run as done once all members have been there for its
 // time, as broken once a member is missing after that, and as alone if the
 // members never met.
@@ -140,7 +143,7 @@
 		}
 	}
 	switch {
-	case present < run.gang && w.now.Sub(run.since) > testLimits.GangWait:
+	case present < run.gang && w.now.Sub(run.since) > modelGangWait:
 		w.end(worker, run, EndAlone)
 	case present == run.gang && w.now.Sub(latest) > run.work:
 		for _, member := range members {
