Short urgent jobs stay urgent for the reclaim time

Ruled out for the test: capacity, the claim's life. Change: such a job is urgent for the reclaim time at least. Test: TestShortUrgentJobIsNotGivenUpWithinTheReclaimTime, failed before.

--- a/placing/rank.go
+++ b/placing/rank.go
@@ -11,7 +11,7 @@
 type tier int
 
 const (
-	tierUrgent   tier = iota // priority 0, while finishing is still worth something
+	tierUrgent   tier = iota // priority 0, while finishing is worth something or it has yet to begin in time
 	tierOnTime               // can still finish within its objective
 	tierLate                 // can still finish within three times its objective
 	tierHopeless             // served when there is room
@@ -21,6 +21,10 @@
 	// lateFactor times the objective is when a job stops being worth anything
 	// to its caller, as the users state it.
 	lateFactor = 3
+	// reclaimHold times the reclaim time is how long a job of priority 0 stays
+	// urgent at least: a short one is past three times its objective sooner, and
+	// has to begin within the reclaim time all the same.
+	reclaimHold = 1
 	// acceleratorCores is what an accelerator counts in cores, as the users
 	// price it.
 	acceleratorCores = 8
@@ -153,7 +157,7 @@
 	onTime := !finish.After(begin.Add(objective))
 	late := !finish.After(begin.Add(lateFactor * objective))
 	switch {
-	case job.queue.Priority == 0 && late:
+	case job.queue.Priority == 0 && (late || now.Sub(begin) < reclaimHold*e.limits.Reclaim):
 		made.tier = tierUrgent
 	case onTime:
 		made.tier = tierOnTime
--- a/placing/urgent_test.go
+++ b/placing/urgent_test.go
@@ -179,3 +179,21 @@
 		is.Equal(c.begun(small.ID), guarantee > 0)
 	}
 }
+
+// A short urgent job is soon past three times its objective. It still has to
+// begin within the reclaim time, so it is not left behind for that.
+func TestShortUrgentJobIsNotGivenUpWithinTheReclaimTime(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	for index := range 4 {
+		c.submit(testJob(hexID(index+1), 2, testStep(8, 1)))
+	}
+	c.steps(3)
+	short := testJob(hexID(9), 0, gangStep(1, 8))
+	short.Steps[0].EstimateMS = 100
+	short.Queue.TargetMS = 100
+	c.submit(short)
+	c.now = c.now.Add(1700 * time.Millisecond) // no decision for as long, as in a take-over
+	c.steps(4)
+	is.True(c.begun(short.ID))
+}
