A worker rests after one failure, for a shorter time

Ruled out: a longer rest (a worker that failed by the task's fault is missed). Change: one failure instead of two puts a worker to rest, for one second instead of two, doubling as before.

--- a/placing/health.go
+++ b/placing/health.go
@@ -3,13 +3,14 @@
 import "time"
 
 const (
-	// failuresToRest is how many failed runs in a row, without one that was
-	// done, put a worker to rest: single failures are mostly the tasks' own.
-	failuresToRest = 2
+	// failuresToRest is how many failed runs, without one that was done between,
+	// put a worker to rest. One is mostly the task's own fault, but a short rest of
+	// one worker in 48 costs little, and a bad worker fails all that it gets.
+	failuresToRest = 1
 	// restFirst and restMost bound how long a worker that fails gets no work;
 	// the rest doubles while its first run afterwards fails again. Bad times of
 	// workers last five to seven seconds in the users' deployments.
-	restFirst = 2 * time.Second
+	restFirst = 1 * time.Second
 	restMost  = 8 * time.Second
 	// busyPause follows an answer that says the worker is unhealthy.
 	busyPause = 700 * time.Millisecond
--- a/placing/urgent_test.go
+++ b/placing/urgent_test.go
@@ -197,3 +197,20 @@
 	c.steps(4)
 	is.True(c.begun(short.ID))
 }
+
+// A worker that fails rests, longer each time, and is forgiven by a run that is
+// done.
+func TestFailingWorkersRest(t *testing.T) {
+	is := is.New(t)
+	var h health
+	h.failed(testStart)
+	is.Equal(h.until.Sub(testStart), restFirst)
+	h.failed(testStart)
+	is.Equal(h.until.Sub(testStart), 2*restFirst)
+	for range 9 {
+		h.failed(testStart)
+	}
+	is.Equal(h.until.Sub(testStart), restMost)
+	h.good()
+	is.True(h.until.IsZero())
+}
