--- a/batch/config.go
+++ b/batch/config.go
@@ -19,11 +19,9 @@
 type Config struct {
 	Version       int64
 	MaxBodyBytes  int64
-	MaxHeadBytes  int
 	Queues        []Queue
 	WorkspaceKeys map[string]string // API key to workspace
 	Guarantees    map[string]int64  // accelerators that belong to a workspace
-	GuardedPools  map[string]bool   // pools whose workers refuse what does not fit
 }
 
 // Route returns the queue that serves a path of a host, and what follows its
