--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -5,8 +5,15 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/teaselcleat/teaselcleat/internal/prooftest"
 )
 
+// propertySteps is rapid's usual number of steps; these properties draw few.
+const propertySteps = "30"
+
+func TestMain(m *testing.M) { prooftest.Main(m, propertySteps) }
+
 func exampleSubmission(id string) *Submission {
 	return &Submission{ID: id, Queue: Queue{Name: "q"}, Steps: []Step{{Tasks: 2}}}
 }
--- a/placing/property_test.go
+++ b/placing/property_test.go
@@ -6,9 +6,15 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/teaselcleat/teaselcleat/internal/prooftest"
 	"github.com/teaselcleat/teaselcleat/jobs"
 )
 
+// propertySteps is rapid's usual number of steps; these properties draw few.
+const propertySteps = "30"
+
+func TestMain(m *testing.M) { prooftest.Main(m, propertySteps) }
+
 // Whatever is lost, late, cut off or replaced: no task runs twice at a time or
 // after its end was noted, none before the steps it waits for, no job fails
 // without the failures it is allowed, and once things are calm all jobs end.
