The test of planned stops sends callers to an instance once it is ready

Ruled out: a cut by the stop itself (the answer came from the instance that had just started). Change: the test lets a new instance into rotation when it is ready, as a balancer does; what it checks of every answer stays the same, and stopping instances are still asked until they are gone. No change to the program.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -221,7 +221,7 @@
 	for n := range 2 {
 		time.Sleep(400 * time.Millisecond)
 		is.Equal(s.instances[n].terminate(), 0) // a clean drain
-		s.addInstance(fmt.Sprintf("next-%d", n))
+		s.addReadyInstance(fmt.Sprintf("next-%d", n))
 		s.waitReady()
 	}
 	close(done)
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -159,15 +159,30 @@
 	s.post(s.platform, "/fixed", membership.Listed{ID: p.name, Role: membership.RoleRunner, Boot: 1, Address: p.http, Slots: 8, Leaving: leaving})
 }
 
+// addInstance starts an instance and sends callers to it at once.
 func (s *system) addInstance(name string) *process {
+	s.t.Helper()
+	p := s.startEntry(name)
+	s.instances = append(s.instances, p)
+	return p
+}
+
+// addReadyInstance starts an instance and sends callers to it once it is ready,
+// as a balancer does.
+func (s *system) addReadyInstance(name string) {
+	s.t.Helper()
+	p := s.startEntry(name)
+	s.waitFor(p)
+	s.instances = append(s.instances, p)
+}
+
+func (s *system) startEntry(name string) *process {
 	s.t.Helper()
 	path := filepath.Join(s.t.TempDir(), name+".ini")
 	if err := os.WriteFile(path, []byte(fmt.Sprintf(instanceINI, name, s.platform.http)), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	p := start(s.t, name, "teaselcleat", "serve", "-config", path)
-	s.instances = append(s.instances, p)
-	return p
+	return start(s.t, name, "teaselcleat", "serve", "-config", path)
 }
 
 // post sends JSON to a stand-in's control path.
@@ -227,13 +242,18 @@
 func (s *system) waitReady() {
 	s.t.Helper()
 	for _, p := range s.live() {
-		eventually(s.t, p.name+" is ready", func() bool {
-			status, err := get[service.Status](s.t, p, "/v1/status")
-			return err == nil && status.Ready && status.Term > 0 && status.LogAvailable
-		})
+		s.waitFor(p)
 	}
 }
 
+func (s *system) waitFor(p *process) {
+	s.t.Helper()
+	eventually(s.t, p.name+" is ready", func() bool {
+		status, err := get[service.Status](s.t, p, "/v1/status")
+		return err == nil && status.Ready && status.Term > 0 && status.LogAvailable
+	})
+}
+
 func (s *system) propose(base int64, text string) {
 	s.t.Helper()
 	at := s.live()[0]
