The time until a lease has lapsed is computed in one place

Cause: last reading: placing and batch each had the drift and the slack of a lease, with the same values; one changed alone would let a task run twice. Change: placing.LeaseLapse is used by both; the figures are the same. Ruled out: a package of its own for one function.

--- a/batch/link.go
+++ b/batch/link.go
@@ -25,10 +25,6 @@
 	ackPatience = 600 * time.Millisecond
 	// orderTimeout is how long a start or a stop may go unanswered.
 	orderTimeout = 700 * time.Millisecond
-	// leaseDrift and leaseSlack bound how much later than its length a lease
-	// may end: workers' clocks may be 2 % slow, and are known to a round trip.
-	leaseDrift = 0.02
-	leaseSlack = 400 * time.Millisecond
 	// leaseLow is the rest of a lease below which a start extends it.
 	leaseLow = 3 * time.Second
 )
@@ -142,7 +138,7 @@
 	}
 	lease := k.leader.instance.settings.Lease
 	k.untilMS = max(k.untilMS, k.clockMS+now.Sub(k.clockAt).Milliseconds()+lease.Milliseconds())
-	k.lapseAt = now.Add(time.Duration(float64(lease)*(1+leaseDrift)) + leaseSlack)
+	k.lapseAt = now.Add(placing.LeaseLapse(lease))
 	return k.untilMS
 }
 
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -125,7 +125,7 @@
 // looked for at their workers; handedOver says that the former holder has
 // certainly stopped.
 func (e *Engine) Load(list []*jobs.Job, handedOver bool, now time.Time) {
-	e.formerLapse = now.Add(e.leaseLapse())
+	e.formerLapse = now.Add(LeaseLapse(e.limits.Lease))
 	if !handedOver {
 		e.formerLapse = e.formerLapse.Add(e.limits.HolderGone)
 	}
--- a/placing/node.go
+++ b/placing/node.go
@@ -16,9 +16,10 @@
 	lapseSlack = 400 * time.Millisecond
 )
 
-// leaseLapse is the time after which a lease granted now has certainly lapsed.
-func (e *Engine) leaseLapse() time.Duration {
-	return time.Duration(float64(e.limits.Lease)*(1+clockDrift)) + lapseSlack
+// LeaseLapse is the time after which a lease of some length has certainly
+// lapsed, counted from the sending of the order that asked for it.
+func LeaseLapse(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*(1+clockDrift)) + lapseSlack
 }
 
 // node is one life of a worker.
--- a/placing/world_workers_test.go
+++ b/placing/world_workers_test.go
@@ -15,7 +15,7 @@
 	id := worker.entry.ID
 	extends := h.answered[id]
 	if extends {
-		h.lapseAt[id] = sent.Add(h.engine.leaseLapse())
+		h.lapseAt[id] = sent.Add(LeaseLapse(testLimits.Lease))
 	}
 	until := sent.Add(testLimits.Lease)
 	w.send(worker, func() bool {
