One line a second on how full the workers are; jobs and stops say what decided them

Change: the holder notes once a second accelerators that are there, usable, busy, being stopped, and what waits by tier; a job's queue, shape and estimate when it is taken; its age against its objective when it ends. What may be thrown away for an urgent job beyond the guarantee is twice its worth, not four times.

--- a/placing/engine.go
+++ b/placing/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
@@ -42,6 +43,7 @@
 	ackPending  map[*node]int64
 	ackFlight   map[*node]int64
 	passedAt    time.Time
+	summedAt    time.Time // see summarize
 	formerLapse time.Time // when all leases that former holders granted have lapsed
 	complete    bool      // see Complete
 	scans       int64     // counts decisions, for those that need not be taken each time
@@ -159,9 +161,21 @@
 	e.jobs[submission.ID] = job
 	e.active = append(e.active, job)
 	e.measure(job)
+	e.note("job_taken", job, "", e.describe(job))
 	return job
 }
 
+// describe is what of a job decides when and where it is placed, for the log.
+func (e *Engine) describe(job *job) string {
+	text := "queue " + job.queue.Name + " priority " + strconv.Itoa(job.queue.Priority) + " workspace " + job.submission.Workspace
+	for index := range job.submission.Steps {
+		step := &job.submission.Steps[index]
+		text += " step " + strconv.Itoa(index) + " tasks " + strconv.Itoa(step.Tasks) + " accelerators " + strconv.FormatInt(step.Need.Accelerators, 10) +
+			" gang " + strconv.FormatBool(step.Gang) + " one_rack " + strconv.FormatBool(step.OneRack) + " estimate_ms " + strconv.FormatInt(step.EstimateMS, 10)
+	}
+	return text
+}
+
 // Cancel ends a job that has no final state: what runs is stopped.
 func (e *Engine) Cancel(id string, now time.Time) {
 	job := e.jobs[id]
@@ -179,7 +193,8 @@
 	job.endedMS = e.wallMS(now)
 	job.claim = nil
 	e.touch(job)
-	e.note("job_ended", job, "", string(state)+" "+reason)
+	e.note("job_ended", job, "", string(state)+" "+reason+" age_ms "+strconv.FormatInt(now.Sub(job.acceptedAt).Milliseconds(), 10)+
+		" objective_ms "+strconv.FormatInt(e.objective(job, job.runs[0]).Milliseconds(), 10))
 	if state == jobs.StateDone {
 		return // what still runs are members of gangs that are ending
 	}
--- a/placing/place.go
+++ b/placing/place.go
@@ -38,6 +38,7 @@
 		return
 	}
 	open := e.openView(now)
+	e.summarize(units, open, now)
 	for _, unit := range units {
 		e.placeUnit(unit, open, now)
 	}
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -21,7 +21,7 @@
 	// workspace's guarantee, as a multiple of its worth in core-seconds. The users
 	// value an urgent core-second about six times as much as one thrown away, and
 	// what is stopped comes later too.
-	lossFactor = 4
+	lossFactor = 2
 	// roomAgain is the pause before room is looked for again for a step that
 	// found none, as the search is the dearest of all.
 	roomAgain = 100 * time.Millisecond
