Orders without an answer are sent again, and their outcome is looked for

Ruled out: room (there was some until second 13), failing workers (490 failures, 32 of 179 thousand core-seconds). Change: a start is sent up to three times, 0.3 s apart; a copy that comes late is answered like the first or refused by the worker, and a refusal after a try that stays open counts as no answer, since the first may yet be carried out. Stops likewise. After a stop was taken a hold that was sent before it gives way to a new one. Orders live in a file of their own. Tests: TestStartIsSentAgainUntilItIsAnswered, TestOlderHoldGivesWayToALook.

--- a/batch/link.go
+++ b/batch/link.go
@@ -6,7 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/teaselcleat/teaselcleat/jobs"
+	"github.com/rotisserie/eris"
+
 	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/placing"
 )
@@ -23,8 +24,6 @@
 	// ackPatience is how long a link waits for ends to be durable before it
 	// looks again: an append takes milliseconds unless the store is away.
 	ackPatience = 600 * time.Millisecond
-	// orderTimeout is how long a start or a stop may go unanswered.
-	orderTimeout = 700 * time.Millisecond
 	// leaseLow is the rest of a lease below which a start extends it.
 	leaseLow = 3 * time.Second
 )
@@ -44,8 +43,13 @@
 	untilMS   int64     // lease granted, on the worker's clock
 	lapseAt   time.Time // when it has lapsed for certain
 	answering bool
+	holdSent  time.Time               // of the newest hold
+	holdEnd   context.CancelCauseFunc // gives that hold up
 }
 
+// errLook ends a hold in favour of a newer one.
+var errLook = eris.New("a newer look at the worker is needed")
+
 // watch opens a link to a worker, or tells the one there is of a new entry.
 func (l *leader) watch(entry placing.WorkerEntry) {
 	if known := l.links[entry.ID]; known != nil {
@@ -81,6 +85,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errLook) {
+			wait = 0
+			continue
+		}
 		if err != nil {
 			k.failed(ctx, err)
 			logstream.Sleep(ctx, pause)
@@ -118,9 +126,15 @@
 func (k *link) hold(ctx context.Context, wait time.Duration) (HoldReport, time.Time, error) {
 	sent := k.leader.clock.Now()
 	order := HoldOrder{UntilMS: k.extend(sent), Epoch: k.leader.epoch, Ack: k.acknowledged(), Wait: wait}
-	ctx, cancel := context.WithTimeout(ctx, wait+holdSlack)
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	k.holding(sent, end)
+	call, cancel := context.WithTimeout(ctx, wait+holdSlack)
 	defer cancel()
-	report, err := k.leader.instance.workers.Hold(ctx, k.worker(), order)
+	report, err := k.leader.instance.workers.Hold(call, k.worker(), order)
+	if err != nil && errors.Is(context.Cause(ctx), errLook) {
+		return report, sent, errLook
+	}
 	if err != nil {
 		return report, sent, err
 	}
@@ -128,6 +142,23 @@
 	return report, sent, nil
 }
 
+func (k *link) holding(sent time.Time, end context.CancelCauseFunc) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	k.holdSent = sent
+	k.holdEnd = end
+}
+
+// look makes sure that a report is asked for after some moment: a hold sent
+// earlier, which may have been lost, is given up for a new one.
+func (k *link) look(after time.Time) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	if k.holdEnd != nil && !k.holdSent.After(after) {
+		k.holdEnd(errLook)
+	}
+}
+
 // extend returns the lease to ask for. While the worker does not answer, it is
 // not extended, so that the time at which all has lapsed stands fast.
 func (k *link) extend(now time.Time) int64 {
@@ -216,64 +247,6 @@
 	}
 }
 
-// startRun sends a start and brings its answer to the placing duty.
-func (k *link) startRun(ctx context.Context, order placing.Start) {
-	sent := k.leader.clock.Now()
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	_, err := k.leader.instance.workers.Start(call, k.worker(), StartOrder{
-		Task:       order.Task,
-		Run:        order.Run,
-		Spec:       order.Spec,
-		Checkpoint: order.Checkpoint,
-		UntilMS:    k.leaseForStart(sent),
-		Epoch:      k.leader.epoch,
-	})
-	result := startResult(err)
-	k.leader.instance.metrics.startTime.Update(k.leader.clock.Now().Sub(sent).Microseconds())
-	if err != nil {
-		k.leader.log.WithField("job", order.Task.Job).WithField("task", order.Task.String()).WithField("run", order.Run).
-			WithField("worker", order.Worker).WithField("error", err.Error()).Info("start_failed")
-	}
-	var refused *OrderError
-	if errors.As(err, &refused) {
-		k.refused(ctx, refused)
-	}
-	k.leader.events.Put(ctx, startAnswered{worker: order.Worker, task: order.Task, run: order.Run, result: result})
-}
-
-func startResult(err error) placing.StartResult {
-	if err == nil {
-		return placing.StartAccepted
-	}
-	var refused *OrderError
-	if !errors.As(err, &refused) {
-		return placing.StartUnknown
-	}
-	switch refused.Refusal {
-	case RefusedRoom:
-		return placing.StartNoRoom
-	case RefusedBusy:
-		return placing.StartBusy
-	}
-	return placing.StartRefused
-}
-
-// stop sends a stop; one that is not answered comes again from the engine.
-func (k *link) stop(ctx context.Context, order placing.Stop) {
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	_, err := k.leader.instance.workers.Stop(call, k.worker(), StopOrder{Task: order.Task, Run: order.Run, Epoch: k.leader.epoch})
-	if err == nil {
-		k.leader.events.Put(ctx, stopAnswered{worker: order.Worker, task: order.Task, run: order.Run})
-		return
-	}
-	var refused *OrderError
-	if errors.As(err, &refused) {
-		k.refused(ctx, refused)
-	}
-}
-
 // holdAnswered brings a worker's report.
 type holdAnswered struct {
 	worker  string
@@ -300,26 +273,3 @@
 }
 
 func (r reborn) apply(l *leader, now time.Time) { l.engine.Reborn(r.worker, now) }
-
-// startAnswered brings the answer to a start.
-type startAnswered struct {
-	worker string
-	task   jobs.TaskKey
-	run    int
-	result placing.StartResult
-}
-
-func (s startAnswered) apply(l *leader, now time.Time) {
-	l.engine.StartAnswered(s.worker, s.task, s.run, s.result, now)
-}
-
-// stopAnswered says that a worker took a stop.
-type stopAnswered struct {
-	worker string
-	task   jobs.TaskKey
-	run    int
-}
-
-func (s stopAnswered) apply(l *leader, now time.Time) {
-	l.engine.StopAnswered(s.worker, s.task, s.run, now)
-}
--- /dev/null
+++ b/batch/order.go
@@ -0,0 +1,133 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+	"github.com/teaselcleat/teaselcleat/logstream"
+	"github.com/teaselcleat/teaselcleat/placing"
+)
+
+const (
+	// orderTimeout is how long a start or a stop may go unanswered before it is
+	// sent again; a worker answers within some milliseconds.
+	orderTimeout = 300 * time.Millisecond
+	// orderTries is how often one is sent. A copy that arrives late is harmless:
+	// the worker answers it like the first, or refuses it once the run is over. Nine
+	// tenths of a second in all leave a gang time to become whole, for which its
+	// members wait three seconds.
+	orderTries = 3
+	// lookSlack is added to the time that a stop takes before its end is asked for.
+	lookSlack = 100 * time.Millisecond
+)
+
+// startRun sends a start and brings its answer to the placing duty.
+func (k *link) startRun(ctx context.Context, order placing.Start) {
+	sent := k.leader.clock.Now()
+	open, err := k.send(ctx, func(ctx context.Context) error {
+		_, err := k.leader.instance.workers.Start(ctx, k.worker(), StartOrder{
+			Task:       order.Task,
+			Run:        order.Run,
+			Spec:       order.Spec,
+			Checkpoint: order.Checkpoint,
+			UntilMS:    k.leaseForStart(k.leader.clock.Now()),
+			Epoch:      k.leader.epoch,
+		})
+		return err
+	})
+	result := startResult(open, err)
+	k.leader.instance.metrics.startTime.Update(k.leader.clock.Now().Sub(sent).Microseconds())
+	if err != nil {
+		k.leader.log.WithField("job", order.Task.Job).WithField("task", order.Task.String()).WithField("run", order.Run).
+			WithField("worker", order.Worker).WithField("error", err.Error()).Info("start_failed")
+	}
+	var refused *OrderError
+	if errors.As(err, &refused) {
+		k.refused(ctx, refused)
+	}
+	k.leader.events.Put(ctx, startAnswered{worker: order.Worker, task: order.Task, run: order.Run, result: result})
+}
+
+// send gives an order until it is answered or the tries are used up. open says
+// that a try went unanswered before: it may take effect later, whatever the
+// answer to another one was.
+func (k *link) send(ctx context.Context, order func(context.Context) error) (open bool, err error) {
+	for range orderTries {
+		err = k.try(ctx, order)
+		var refused *OrderError
+		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
+			return open, err
+		}
+		open = true
+	}
+	return open, err
+}
+
+func (k *link) try(ctx context.Context, order func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return order(ctx)
+}
+
+// startResult is what is known of a start. A refusal says nothing of a try that
+// went unanswered before.
+func startResult(open bool, err error) placing.StartResult {
+	if err == nil {
+		return placing.StartAccepted
+	}
+	var refused *OrderError
+	if open || !errors.As(err, &refused) {
+		return placing.StartUnknown
+	}
+	switch refused.Refusal {
+	case RefusedRoom:
+		return placing.StartNoRoom
+	case RefusedBusy:
+		return placing.StartBusy
+	}
+	return placing.StartRefused
+}
+
+// stop sends a stop; one that is not answered comes again from the engine.
+func (k *link) stop(ctx context.Context, order placing.Stop) {
+	_, err := k.send(ctx, func(ctx context.Context) error {
+		_, err := k.leader.instance.workers.Stop(ctx, k.worker(), StopOrder{Task: order.Task, Run: order.Run, Epoch: k.leader.epoch})
+		return err
+	})
+	if err == nil {
+		answered := k.leader.clock.Now()
+		k.leader.events.Put(ctx, stopAnswered{worker: order.Worker, task: order.Task, run: order.Run})
+		logstream.Sleep(ctx, k.leader.instance.settings.StopWithin+lookSlack)
+		k.look(answered)
+		return
+	}
+	var refused *OrderError
+	if errors.As(err, &refused) {
+		k.refused(ctx, refused)
+	}
+}
+
+// startAnswered brings the answer to a start.
+type startAnswered struct {
+	worker string
+	task   jobs.TaskKey
+	run    int
+	result placing.StartResult
+}
+
+func (s startAnswered) apply(l *leader, now time.Time) {
+	l.engine.StartAnswered(s.worker, s.task, s.run, s.result, now)
+}
+
+// stopAnswered says that a worker took a stop.
+type stopAnswered struct {
+	worker string
+	task   jobs.TaskKey
+	run    int
+}
+
+func (s stopAnswered) apply(l *leader, now time.Time) {
+	l.engine.StopAnswered(s.worker, s.task, s.run, now)
+}
--- /dev/null
+++ b/batch/order_test.go
@@ -0,0 +1,107 @@
+package batch
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/teaselcleat/teaselcleat/placing"
+	"github.com/teaselcleat/teaselcleat/ring"
+)
+
+// scriptedWorkers answers starts and stops as told, one after the other. A nil
+// function leaves the call without an answer.
+type scriptedWorkers struct {
+	answers []func() error
+	calls   int
+}
+
+func (w *scriptedWorkers) answer(ctx context.Context) error {
+	next := w.answers[min(w.calls, len(w.answers)-1)]
+	w.calls++
+	if next == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return next()
+}
+
+func (w *scriptedWorkers) Start(ctx context.Context, _ placing.WorkerEntry, _ StartOrder) (int64, error) {
+	return 0, w.answer(ctx)
+}
+
+func (w *scriptedWorkers) Stop(ctx context.Context, _ placing.WorkerEntry, _ StopOrder) (int64, error) {
+	return 0, w.answer(ctx)
+}
+
+func (w *scriptedWorkers) Hold(ctx context.Context, _ placing.WorkerEntry, _ HoldOrder) (HoldReport, error) {
+	return HoldReport{}, w.answer(ctx)
+}
+
+func (w *scriptedWorkers) Forget(placing.WorkerEntry) {}
+
+func taken() error { return nil }
+
+func refusedFor(refusal Refusal) func() error {
+	return func() error { return &OrderError{Refusal: refusal} }
+}
+
+func scriptedLink(answers ...func() error) (*link, *scriptedWorkers) {
+	workers := &scriptedWorkers{answers: answers}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	instance := &Instance{workers: workers, metrics: newInstruments(metrics.NewRegistry())}
+	l := &leader{instance: instance, log: logrus.NewEntry(logger), clock: NewClock(), events: ring.New[event](16)}
+	return &link{leader: l, entry: placing.WorkerEntry{ID: "w"}}, workers
+}
+
+// A start without an answer is sent again: an order may be lost or come late,
+// and a gang whose other members wait would have to begin anew.
+func TestStartIsSentAgainUntilItIsAnswered(t *testing.T) {
+	refused := refusedFor(RefusedRoom)
+	for _, c := range []struct {
+		name    string
+		answers []func() error
+		result  placing.StartResult
+		calls   int
+	}{
+		{"answered at once", []func() error{taken}, placing.StartAccepted, 1},
+		{"second is answered", []func() error{nil, taken}, placing.StartAccepted, 2},
+		{"none is answered", []func() error{nil}, placing.StartUnknown, orderTries},
+		{"refused at once", []func() error{refused}, placing.StartNoRoom, 1},
+		// The first may yet be carried out, so the run is not known to be off.
+		{"refused after one that stays open", []func() error{nil, refused}, placing.StartUnknown, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				link, workers := scriptedLink(c.answers...)
+				link.startRun(t.Context(), placing.Start{Worker: "w", Run: 1})
+				answer, ok := link.leader.events.TryTake()
+				is.True(ok)
+				is.Equal(answer.(startAnswered).result, c.result)
+				is.Equal(workers.calls, c.calls)
+			})
+		})
+	}
+}
+
+// A hold that was sent before a stop was taken does not tell whether the run is
+// over, and may have been lost: it is given up for a new one.
+func TestOlderHoldGivesWayToALook(t *testing.T) {
+	is := is.New(t)
+	link, _ := scriptedLink(taken)
+	sent := time.Unix(100, 0)
+	ctx, end := context.WithCancelCause(t.Context())
+	link.holding(sent, end)
+	link.look(sent.Add(-time.Millisecond))
+	is.NoErr(ctx.Err()) // the hold is newer
+	link.look(sent.Add(time.Millisecond))
+	is.Equal(context.Cause(ctx), errLook)
+}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
@@ -19,9 +20,9 @@
 )
 
 const (
-	// stopAgain is how long a stop may go unanswered before it is sent again;
-	// a worker of the same region answers within some milliseconds.
-	stopAgain = 600 * time.Millisecond
+	// stopAgain is how long a stop may go unanswered before it is ordered again;
+	// it has been sent three times by then.
+	stopAgain = time.Second
 	// fullPause keeps new work off a worker that refused for room, until its
 	// books can be put right by its next report.
 	fullPause = 500 * time.Millisecond
@@ -125,7 +126,8 @@
 		run.phase = phaseStopping
 	}
 	e.sendStop(run, now)
-	e.note("run_stopped", run.task.step.job, run.node.entry.ID, run.task.key.String()+" "+why)
+	e.note("run_stopped", run.task.step.job, run.node.entry.ID,
+		run.task.key.String()+" lost_core_s "+strconv.Itoa(int(run.loss(now)))+" "+why)
 }
 
 func (e *Engine) sendStop(run *run, now time.Time) {
