A run that reports all of its work as done is slow, not standing still

Reports count work at a sound worker's speed, so on workers five times slower a run stands at 100 until it ends. Change: at 100 per cent a run is given eight times its expected time.

--- a/placing/care.go
+++ b/placing/care.go
@@ -1,6 +1,9 @@
 package placing
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 const (
 	// stallAfter is how long a task may make no progress before it is held to
@@ -10,6 +13,10 @@
 	// stallShare is the share of the expected run time that may pass without
 	// progress, for tasks so long that one part takes longer than stallAfter.
 	stallShare = 0.3
+	// overdueFactor times the expected run time is when a run that reports all of
+	// its work as done is given up: reports count work at the speed of a sound
+	// worker, and slow ones are four to eight times slower for some seconds.
+	overdueFactor = 8
 	// endTogether is how far apart the ends of a gang's members may be listed.
 	endTogether = time.Second
 	// leaveSlack is how long before a worker's leaving its tasks are stopped so
@@ -34,7 +41,8 @@
 			}
 			if known.answering && e.stalled(run, now) {
 				known.health.failed(now)
-				e.stopUnit(run, "no progress", now)
+				idle := now.Sub(run.percentAt).Milliseconds()
+				e.stopUnit(run, "no progress for_ms "+strconv.FormatInt(idle, 10)+" percent "+strconv.Itoa(run.percent), now)
 			}
 		}
 	}
@@ -85,5 +93,8 @@
 	}
 	expected := e.runtime(run.task.step.job, run.task.key.Step)
 	allowed := max(stallAfter, time.Duration(stallShare*float64(expected)))
+	if run.percent >= 100 {
+		allowed = max(allowed, overdueFactor*expected)
+	}
 	return now.Sub(run.percentAt) > allowed
 }
