A guarantee is made good also where urgent work beyond its own holds the room

Cause: reasoning about RECLAIM: urgent jobs were placed by worth alone, and only work of lower priority was stopped for them, so a workspace within its guarantee could wait for others' urgent jobs far beyond theirs. Ruled out: refusing urgent work beyond the guarantee, since idle room is anybody's. Change: urgent jobs of workspaces within their guarantee come first; once their patience for a rack is over, urgent work of workspaces beyond theirs may be stopped, weighed six times. Who is beyond is found once a pass, not once a job. Test: TestGuaranteeIsTakenBackFromUrgentWorkBeyondItsOwn, fails without the change.

--- a/placing/engine.go
+++ b/placing/engine.go
@@ -31,6 +31,7 @@
 	nodeOrder  []*node // by ID, for decisions that repeat
 	queues     map[string]jobs.Queue
 	guarantees map[string]int64
+	overdrawn  map[string]bool      // see drawGuarantees
 	learned    map[string]*estimate // by queue
 	sizes      map[string]*sizes    // by queue
 
--- /dev/null
+++ b/placing/guarantee.go
@@ -0,0 +1,42 @@
+package placing
+
+import "time"
+
+// drawGuarantees finds the workspaces whose unfinished urgent jobs need more
+// accelerators than they are guaranteed. Jobs of the others must begin within
+// the reclaim time, whatever else has to go.
+func (e *Engine) drawGuarantees() {
+	drawn := map[string]int64{}
+	for _, job := range e.active {
+		if job.queue.Priority == 0 && !job.state.Final() {
+			drawn[job.submission.Workspace] += job.accelerators()
+		}
+	}
+	e.overdrawn = map[string]bool{}
+	for workspace, need := range drawn {
+		if need > e.guarantees[workspace] {
+			e.overdrawn[workspace] = true
+		}
+	}
+}
+
+// guaranteed reports whether a job has to begin within the reclaim time.
+func (e *Engine) guaranteed(job *job) bool {
+	return job.queue.Priority == 0 && !e.overdrawn[job.submission.Workspace]
+}
+
+// accelerators is what all steps of a job need together.
+func (j *job) accelerators() int64 {
+	need := int64(0)
+	for index := range j.submission.Steps {
+		step := &j.submission.Steps[index]
+		need += int64(step.Tasks) * step.Need.Accelerators
+	}
+	return need
+}
+
+// urgentPatience is how long an urgent step waits for its rack, and for other
+// ways to make room than stopping urgent work.
+func (e *Engine) urgentPatience() time.Duration {
+	return time.Duration(urgentShare * float64(e.limits.Reclaim))
+}
--- a/placing/place.go
+++ b/placing/place.go
@@ -128,7 +128,7 @@
 func (e *Engine) patient(unit *unit, now time.Time) bool {
 	patience := time.Duration(rackPatience * float64(e.runtime(unit.job, unit.tasks[0].key.Step)))
 	if unit.tier == tierUrgent {
-		patience = min(patience, time.Duration(urgentShare*float64(e.limits.Reclaim)))
+		patience = min(patience, e.urgentPatience())
 	}
 	return now.Sub(unit.step.readyAt) < patience
 }
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -22,6 +22,10 @@
 	// value an urgent core-second about six times as much as one thrown away, and
 	// what is stopped comes later too.
 	lossFactor = 2
+	// urgentLoss weighs what urgent work beyond its guarantee loses to a guaranteed
+	// job against other losses, with a second for its late end: the users value an
+	// urgent core-second about six times as much.
+	urgentLoss = 6
 	// roomAgain is the pause before room is looked for again for a step that
 	// found none, as the search is the dearest of all.
 	roomAgain = 100 * time.Millisecond
@@ -37,7 +41,7 @@
 // victim is what is stopped together: a gang's run or one task's.
 type victim struct {
 	runs []*run
-	loss float64 // core-seconds that would be done again
+	loss float64 // core-seconds that would be done again, weighed
 }
 
 // makeRoom stops work of lower priority so that an urgent unit fits, at the
@@ -54,6 +58,9 @@
 			}
 		}
 	}
+	if unit.guaranteed && now.Sub(unit.step.readyAt) >= e.urgentPatience() {
+		unit.overdrawn = e.overdrawn
+	}
 	if seats := coming.fit(unit, true); seats != nil {
 		e.claim(unit, seats, open, now)
 		return
@@ -259,7 +266,7 @@
 		}
 		step := candidate.task.step
 		if !step.spec.Gang {
-			list = append(list, victim{runs: []*run{candidate}, loss: candidate.loss(now)})
+			list = append(list, victim{runs: []*run{candidate}, loss: candidate.weighed(now)})
 			continue
 		}
 		if !n.earlierMember(step, index) {
@@ -282,7 +289,9 @@
 
 func (r *run) stoppable(unit *unit) bool {
 	job := r.task.step.job
-	return job.queue.Priority > unit.job.queue.Priority && !r.task.step.spec.Lasting && r.stopSentAt.IsZero() && r.task.run == r
+	below := job.queue.Priority > unit.job.queue.Priority
+	overdrawn := job.queue.Priority == 0 && unit.overdrawn[job.submission.Workspace]
+	return (below || overdrawn) && !r.task.step.spec.Lasting && r.stopSentAt.IsZero() && r.task.run == r
 }
 
 func gangVictim(step *step, now time.Time) victim {
@@ -290,7 +299,7 @@
 	for _, member := range step.tasks {
 		if member.run != nil {
 			made.runs = append(made.runs, member.run)
-			made.loss += member.run.loss(now)
+			made.loss += member.run.weighed(now)
 		}
 	}
 	return made
@@ -308,6 +317,14 @@
 	return worked.Seconds() * cores(r.task.step.spec.Need)
 }
 
+// weighed is the loss of a stop as it is compared with others.
+func (r *run) weighed(now time.Time) float64 {
+	if r.task.step.job.queue.Priority == 0 {
+		return urgentLoss * (r.loss(now) + cores(r.task.step.spec.Need))
+	}
+	return r.loss(now)
+}
+
 // worthIt allows any loss inside the workspace's guarantee, and beyond it what
 // the job's own worth covers.
 func (e *Engine) worthIt(unit *unit, chosen []victim) bool {
@@ -317,21 +334,5 @@
 	}
 	own := e.work(unit.job, unit.occurrence, false)
 	worth := baseWorth*e.meanWork(unit.job, own) + workWorth*own
-	return lost <= lossFactor*worth || e.guaranteed(unit.job)
-}
-
-// guaranteed reports whether the unfinished urgent jobs of the job's workspace
-// need no more accelerators together than it is guaranteed.
-func (e *Engine) guaranteed(job *job) bool {
-	need := int64(0)
-	for _, other := range e.active {
-		if other.queue.Priority != 0 || other.submission.Workspace != job.submission.Workspace || other.state.Final() {
-			continue
-		}
-		for index := range other.submission.Steps {
-			step := &other.submission.Steps[index]
-			need += int64(step.Tasks) * step.Need.Accelerators
-		}
-	}
-	return need <= e.guarantees[job.submission.Workspace]
+	return lost <= lossFactor*worth || unit.guaranteed
 }
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -46,6 +46,8 @@
 	tier       tier
 	density    float64 // value for each core-second that it still takes
 	deadline   time.Time
+	guaranteed bool            // has to begin within the reclaim time
+	overdrawn  map[string]bool // workspaces whose urgent work may be stopped for it
 }
 
 // cores is what resources count in cores.
@@ -85,6 +87,7 @@
 func (e *Engine) waiting(now time.Time) []*unit {
 	var units []*unit
 	nowMS := e.wallMS(now)
+	e.drawGuarantees()
 	for _, job := range e.active {
 		if job.state.Final() {
 			continue
@@ -103,6 +106,9 @@
 	if a.tier != b.tier {
 		return a.tier < b.tier
 	}
+	if a.guaranteed != b.guaranteed {
+		return a.guaranteed
+	}
 	if a.density != b.density {
 		return a.density > b.density
 	}
@@ -167,6 +173,7 @@
 		made.tier = tierHopeless
 	}
 	made.density = e.density(job, occurrence)
+	made.guaranteed = made.tier == tierUrgent && e.guaranteed(job)
 	return made
 }
 
--- a/placing/urgent_test.go
+++ b/placing/urgent_test.go
@@ -203,6 +203,32 @@
 	}
 }
 
+// Urgent work of a workspace beyond its guarantee fills the workers. A job
+// inside the guarantee of another begins within the reclaim time nevertheless,
+// and no more of that work is stopped than stands in its place.
+func TestGuaranteeIsTakenBackFromUrgentWorkBeyondItsOwn(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(2)
+	c.engine.Configure(nil, map[string]int64{"manchester": 16, "nashua": 16})
+	for index := range 8 {
+		c.submit(testJob(hexID(index+1), 0, testStep(8, 1)))
+	}
+	c.steps(3)
+	owed := testJob(hexID(99), 0, gangStep(2, 8))
+	owed.Workspace = "nashua"
+	c.submit(owed)
+	begin, stopped := c.now, 0
+	for !c.begun(owed.ID) && c.now.Sub(begin) < testLimits.Reclaim {
+		stopped += len(c.step().Stops)
+	}
+	is.True(c.begun(owed.ID))
+	is.Equal(stopped, 16)
+	more := testJob(hexID(100), 0, gangStep(2, 8)) // beyond: it waits
+	c.submit(more)
+	c.steps(int(testLimits.Reclaim / (50 * time.Millisecond)))
+	is.True(!c.begun(more.ID))
+}
+
 // A short urgent job is soon past three times its objective. It still has to
 // begin within the reclaim time, so it is not left behind for that.
 func TestShortUrgentJobIsNotGivenUpWithinTheReclaimTime(t *testing.T) {
