An append without an answer is looked for in the log before it is sent again

Change: the first patience is 0.6 s; half way through it and at its end the log is read for the records. Found: accepted. Not readable either: the store is out of reach, and another instance is asked at once. Readable and not there: sent again, and no other instance is asked to do the same. The holder of the term knows its append by the renewal that it reads back. Tests: TestLostAnswerIsReadBack, TestHolderReadsItsRenewalBack.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -216,3 +218,73 @@
 	is.Equal(comeBack(1, 0), retryEarly)
 	is.Equal(comeBack(1, youngOutage), retryAway)
 }
+
+// lossyStore takes appends into its log and loses their answers.
+type lossyStore struct {
+	Store
+	lock    sync.Mutex
+	records []jobs.Record
+	appends int
+}
+
+func (s *lossyStore) Append(ctx context.Context, _ int, records []jobs.Record, _ *Fence) error {
+	s.lock.Lock()
+	s.records = append(s.records, records...)
+	s.appends++
+	s.lock.Unlock()
+	<-ctx.Done()
+	return ErrUnknown
+}
+
+func (s *lossyStore) holds(_ context.Context, records []jobs.Record) (bool, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, record := range records {
+		if !slices.ContainsFunc(s.records, func(kept jobs.Record) bool { return kept.Key == record.Key }) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// An append whose answer is lost is found in the log, and not sent again: in a
+// slow store repeats would only add to what waits there.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &lossyStore{}
+		committer := newCommitter(store, NewClock(), 1)
+		committer.readBack = store.holds
+		is.NoErr(committer.append(t.Context(), []*commit{{record: jobs.CancelRecord("a")}}))
+		is.Equal(store.appends, 1)
+		committer.readBack = func(context.Context, []jobs.Record) (bool, error) { return false, nil }
+		is.Equal(committer.append(t.Context(), []*commit{{record: jobs.CancelRecord("a")}}), ErrUnknown)
+		is.Equal(store.appends, 1+commitTries)
+		// Where reads go unanswered too, others are asked without another try.
+		committer.readBack = func(context.Context, []jobs.Record) (bool, error) { return false, errOut }
+		err := committer.append(t.Context(), []*commit{{record: jobs.CancelRecord("a")}})
+		is.True(errors.Is(err, errOutOfReach) && errors.Is(err, ErrUnknown))
+		is.Equal(store.appends, 2+commitTries)
+	})
+}
+
+// The holder of the term reads its own renewals, so a lost answer does not hold
+// up its records; but only the very renewal that it sent counts.
+func TestHolderReadsItsRenewalBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &lossyStore{}
+		instance := New(Settings{Name: "a", StoreParts: 8}, store, nil, nil, metrics.NewRegistry(), quietLog())
+		l := &leader{instance: instance, clock: instance.clock, log: quietLog()}
+		sent := jobs.Term{Epoch: 3, Holder: "a/1", Renewals: 7}
+		writer := newFencedWriter(store, l, sent, 1)
+		record, err := jobs.TermRecord(jobs.Term{Epoch: 3, Holder: "a/1", Renewals: 6})
+		is.NoErr(err)
+		instance.fold.apply(progressPart, Batch{Records: []jobs.Record{record}, Offsets: []int64{0}})
+		is.Equal(writer.try(t.Context(), sent, nil), ErrUnknown)
+		record, err = jobs.TermRecord(sent)
+		is.NoErr(err)
+		instance.fold.apply(progressPart, Batch{Records: []jobs.Record{record}, Offsets: []int64{1}})
+		is.NoErr(writer.try(t.Context(), sent, nil))
+	})
+}
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/teaselcleat/teaselcleat/jobs"
 	"github.com/teaselcleat/teaselcleat/ring"
 )
@@ -25,6 +27,9 @@
 	// commitTries is how often a group is sent; its records are harmless when
 	// written twice.
 	commitTries = 2
+	// readBackTimeout bounds a look at the log for an append without an answer;
+	// reads take milliseconds, and 0.3 s while the store is slow.
+	readBackTimeout = 350 * time.Millisecond
 	// commitStuck is how old the append on its way may be before new records
 	// are refused at once, as they would wait behind it.
 	commitStuck = 1200 * time.Millisecond
@@ -52,10 +57,18 @@
 	result chan error // nil, ErrNotDone or ErrUnknown; buffered
 }
 
+// readBack reads the log and reports whether all of some records are in it.
+type readBack func(ctx context.Context, records []jobs.Record) (found bool, err error)
+
+// errOutOfReach says that an append got no answer and a look at the log
+// neither, so that the store is away or this instance is cut off from it.
+var errOutOfReach = eris.Wrap(ErrUnknown, "the store is out of reach")
+
 // committer appends the records of this instance's callers in groups.
 type committer struct {
 	store    Store
 	clock    *Clock
+	readBack readBack // nil if the log cannot be looked at
 	part     int
 	ring     *ring.Ring[*commit]
 	patience patience
@@ -151,16 +164,25 @@
 		if errors.Is(err, ErrNotDone) && !unknown {
 			return ErrNotDone
 		}
+		if errors.Is(err, errOutOfReach) {
+			return err
+		}
 		unknown = true
 	}
 	return ErrUnknown
 }
 
+// try sends a group once. Half way through its patience, and at the end of it,
+// the log is read for the group: an answer may be lost though the append took
+// effect, and sending it again makes a slow store slower.
 func (c *committer) try(ctx context.Context, records []jobs.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, c.patience.limit())
+	limit := c.patience.limit()
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := c.clock.Now()
-	err := c.store.Append(ctx, c.part, records, nil)
+	answer := make(chan error, 1)
+	go func() { answer <- c.store.Append(ctx, c.part, records, nil) }()
+	err := c.await(ctx, answer, records, limit)
 	if errors.Is(err, ErrUnknown) {
 		c.patience.lost()
 		return err
@@ -168,3 +190,43 @@
 	c.patience.answered(c.clock.Now().Sub(sent))
 	return err
 }
+
+func (c *committer) await(ctx context.Context, answer <-chan error, records []jobs.Record, limit time.Duration) error {
+	look := time.NewTimer(limit / 2)
+	defer look.Stop()
+	select {
+	case err := <-answer:
+		return c.unlessRead(ctx, err, records)
+	case <-look.C:
+	}
+	if found, err := c.inLog(ctx, records); found || err != nil {
+		return err
+	}
+	return c.unlessRead(ctx, <-answer, records)
+}
+
+// unlessRead resolves an append without an answer by a look at the log.
+func (c *committer) unlessRead(ctx context.Context, answered error, records []jobs.Record) error {
+	if !errors.Is(answered, ErrUnknown) {
+		return answered
+	}
+	found, err := c.inLog(ctx, records)
+	if found || err != nil {
+		return err
+	}
+	return answered
+}
+
+// inLog looks at the log for a group. An error is errOutOfReach.
+func (c *committer) inLog(ctx context.Context, records []jobs.Record) (bool, error) {
+	if c.readBack == nil {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readBackTimeout)
+	defer cancel()
+	found, err := c.readBack(ctx, records)
+	if err != nil {
+		return false, errOutOfReach
+	}
+	return found, nil
+}
--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -111,8 +111,8 @@
 	if i.mayWrite() {
 		err = i.committer.write(ctx, record)
 	}
-	if err == nil {
-		return nil
+	if err == nil || errors.Is(err, ErrUnknown) && !errors.Is(err, errOutOfReach) {
+		return err // the store is slow or loses answers, for others as well
 	}
 	helped := i.helpers.write(ctx, i.helperAddresses(), record)
 	i.metrics.count("relay.write")
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -85,6 +85,7 @@
 	}
 	i.fold = newWorkFold(log)
 	i.committer = newCommitter(store, i.clock, partOf(i.nameHash, settings.StoreParts))
+	i.committer.readBack = i.inLog
 	i.helpers = newHelpers(i.clock)
 	i.chronicle = newChronicle(i.clock)
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, quietWait)
@@ -254,3 +255,27 @@
 	}
 	return failed
 }
+
+// inLog reports whether records of this instance's callers are in the log, as
+// read now.
+func (i *Instance) inLog(ctx context.Context, records []jobs.Record) (bool, error) {
+	if err := i.ownCalls().refresh(ctx); err != nil {
+		return false, err
+	}
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
+	for _, record := range records {
+		if !i.fold.table.Contains(record) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// ownCalls follows the part to which this instance writes.
+func (i *Instance) ownCalls() *follower {
+	if i.committer.part == progressPart {
+		return i.work
+	}
+	return i.calls[i.committer.part-1]
+}
--- a/batch/patience.go
+++ b/batch/patience.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// patienceLeast is the shortest time that a call to the store is given; it
-	// takes 4 ms as a rule.
-	patienceLeast = 250 * time.Millisecond
+	// patienceLeast is the shortest time that a call to the store is given. It
+	// takes 4 ms as a rule, but a store that has just become slow takes 0.3 s for
+	// each append of a part, and repeats would only add to what waits there.
+	patienceLeast = 600 * time.Millisecond
 	// patienceMost bounds it; the store refuses when 2 s of work are waiting.
 	patienceMost = 2 * time.Second
 	// patienceFactor times the usual time of an answer is waited for, so that a
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -13,6 +13,9 @@
 const (
 	// fencedPause follows a try that the store refused.
 	fencedPause = 100 * time.Millisecond
+	// seenEvery is how often the fold is looked at for an append whose answer is
+	// awaited; the holder reads its own part of the log all the time.
+	seenEvery = 40 * time.Millisecond
 )
 
 // fencedWriter appends the holder's records one group at a time. A group is
@@ -77,7 +80,8 @@
 }
 
 func (w *fencedWriter) write(ctx context.Context, group []jobs.Record) {
-	renewal, err := jobs.TermRecord(w.nextTerm())
+	renewed := w.nextTerm()
+	renewal, err := jobs.TermRecord(renewed)
 	if err != nil {
 		panic("batch: a term cannot be encoded: " + err.Error())
 	}
@@ -85,7 +89,7 @@
 	w.sequence++
 	for ctx.Err() == nil {
 		sent := w.leader.clock.Now()
-		err := w.try(ctx, records)
+		err := w.try(ctx, renewed, records)
 		if err == nil {
 			w.confirm(sent)
 			w.leader.instance.metrics.appendTime.Update(w.leader.clock.Now().Sub(sent).Microseconds())
@@ -102,11 +106,16 @@
 	}
 }
 
-func (w *fencedWriter) try(ctx context.Context, records []jobs.Record) error {
+// try sends records once, of which the first is the term as it becomes.
+func (w *fencedWriter) try(ctx context.Context, term jobs.Term, records []jobs.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, w.patience.limit())
 	defer cancel()
 	sent := w.leader.clock.Now()
-	err := w.store.Append(ctx, progressPart, records, &Fence{Epoch: w.term.Epoch, Sequence: w.sequence})
+	answer := make(chan error, 1)
+	go func() {
+		answer <- w.store.Append(ctx, progressPart, records, &Fence{Epoch: w.term.Epoch, Sequence: w.sequence})
+	}()
+	err := w.await(answer, term)
 	if errors.Is(err, ErrUnknown) {
 		w.patience.lost()
 		return err
@@ -115,6 +124,23 @@
 	return err
 }
 
+// await waits for an append's answer, or for the fold to show the term that it
+// carries: the answer may be lost though the append took effect.
+func (w *fencedWriter) await(answer <-chan error, term jobs.Term) error {
+	looks := time.NewTicker(seenEvery)
+	defer looks.Stop()
+	for {
+		select {
+		case err := <-answer:
+			return err
+		case <-looks.C:
+		}
+		if w.leader.instance.term() == term {
+			return nil
+		}
+	}
+}
+
 func (w *fencedWriter) nextTerm() jobs.Term {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -145,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	return w.try(ctx, []jobs.Record{record})
+	return w.try(ctx, given, []jobs.Record{record})
 }
 
 // recorded says that a group is durable.
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -62,6 +62,20 @@
 	return job
 }
 
+// Contains reports whether what a caller's record says was folded, from this
+// record or from another copy of it.
+func (t *Table) Contains(record Record) bool {
+	if id, ok := subject(record.Key, submissionPrefix); ok {
+		return t.Job(id) != nil
+	}
+	if id, ok := subject(record.Key, cancelPrefix); ok {
+		job := t.Job(id)
+		return job != nil && job.State().Final()
+	}
+	name, ok := subject(record.Key, instancePrefix)
+	return ok && t.instances[name] == string(record.Value)
+}
+
 // Len is the number of submitted jobs that are remembered.
 func (t *Table) Len() int { return len(t.jobs) }
 
