Advice, pace of filling tasks, lasting tasks on leaving workers

Change: the holder asks for tickets, one question at a time, and starts carry them; filling tasks are paced by reports of response times; lasting tasks leave in time while enough of their step are at work. Ruled out: asking about all workers at once, as the answer takes longer with each.

--- a/batch/leader.go
+++ b/batch/leader.go
@@ -298,6 +298,14 @@
 	for _, order := range plan.Starts {
 		l.sendStart(ctx, order)
 	}
+	for _, pace := range plan.Paces {
+		if link := l.links[pace.Worker]; link != nil {
+			l.start(ctx, func(ctx context.Context) { link.pace(ctx, pace) })
+		}
+	}
+	if plan.Ask != nil {
+		l.start(ctx, func(ctx context.Context) { l.advise(ctx, *plan.Ask) })
+	}
 	for worker, number := range plan.Acks {
 		if link := l.links[worker]; link != nil {
 			link.acknowledge(number)
--- a/batch/order.go
+++ b/batch/order.go
@@ -32,6 +32,7 @@
 			Run:        order.Run,
 			Spec:       order.Spec,
 			Checkpoint: order.Checkpoint,
+			Ticket:     order.Ticket,
 			UntilMS:    k.leaseForStart(k.leader.clock.Now()),
 			Epoch:      k.leader.epoch,
 		})
@@ -82,6 +83,8 @@
 		return placing.StartUnknown
 	}
 	switch refused.Refusal {
+	case RefusedTicket:
+		return placing.StartNoTicket
 	case RefusedRoom:
 		return placing.StartNoRoom
 	case RefusedBusy:
@@ -109,6 +112,27 @@
 	}
 }
 
+// pace sends a pace; one that is not answered comes again from the engine.
+func (k *link) pace(ctx context.Context, order placing.Pace) {
+	_, err := k.send(ctx, func(ctx context.Context) error {
+		return k.leader.instance.workers.Pace(ctx, k.worker(), PaceOrder{Task: order.Task, Run: order.Run, Percent: order.Percent, Epoch: k.leader.epoch})
+	})
+	var refused *OrderError
+	switch {
+	case err == nil:
+		k.leader.events.Put(ctx, paceAnswered{pace: order})
+	case errors.As(err, &refused):
+		k.refused(ctx, refused)
+	}
+}
+
+// paceAnswered says that a worker took a pace.
+type paceAnswered struct {
+	pace placing.Pace
+}
+
+func (p paceAnswered) apply(l *leader, _ time.Time) { l.engine.PaceAnswered(p.pace) }
+
 // startAnswered brings the answer to a start.
 type startAnswered struct {
 	worker string
--- a/batch/order_test.go
+++ b/batch/order_test.go
@@ -44,6 +44,14 @@
 	return HoldReport{}, w.answer(ctx)
 }
 
+func (w *scriptedWorkers) Advise(ctx context.Context, _ placing.Ask) (map[string]string, time.Duration, error) {
+	return nil, 0, w.answer(ctx)
+}
+
+func (w *scriptedWorkers) Pace(ctx context.Context, _ placing.WorkerEntry, _ PaceOrder) error {
+	return w.answer(ctx)
+}
+
 func (w *scriptedWorkers) Forget(placing.WorkerEntry) {}
 
 func taken() error { return nil }
--- a/batch/outside.go
+++ b/batch/outside.go
@@ -76,6 +76,10 @@
 	Start(ctx context.Context, worker placing.WorkerEntry, order StartOrder) (clockMS int64, err error)
 	Stop(ctx context.Context, worker placing.WorkerEntry, order StopOrder) (clockMS int64, err error)
 	Hold(ctx context.Context, worker placing.WorkerEntry, order HoldOrder) (HoldReport, error)
+	Pace(ctx context.Context, worker placing.WorkerEntry, order PaceOrder) error
+	// Advise asks the service that knows which of some workers may run a step. The
+	// tickets, by worker, go with starts of the step for the time that is valid.
+	Advise(ctx context.Context, ask placing.Ask) (tickets map[string]string, valid time.Duration, err error)
 	// Forget drops what is kept for a worker that is not called any more.
 	Forget(worker placing.WorkerEntry)
 }
@@ -110,6 +114,7 @@
 	Run        int
 	Spec       string
 	Checkpoint string
+	Ticket     string
 	UntilMS    int64 // lease, on the worker's clock
 	Epoch      int64
 }
@@ -121,6 +126,14 @@
 	Epoch int64
 }
 
+// PaceOrder lets a run work at a share of its speed, in hundredths.
+type PaceOrder struct {
+	Task    jobs.TaskKey
+	Run     int
+	Percent int
+	Epoch   int64
+}
+
 // HoldOrder renews the lease of all that runs on a worker, forgets ends up to
 // Ack, and asks for what runs and what ended.
 type HoldOrder struct {
--- a/command/front.go
+++ b/command/front.go
@@ -97,7 +97,7 @@
 func newFrontProcess(loaded *platform.Settings, log *logrus.Entry) *frontProcess {
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(loaded.StoreAddress)
-	instance := batch.New(loaded.Settings, store, platform.Decoder{}, platform.NewWorkers(), registry, log)
+	instance := batch.New(loaded.Settings, store, platform.Decoder{}, platform.NewWorkers(loaded.AdviceAddress), registry, log)
 	return &frontProcess{
 		settings: loaded,
 		log:      log,
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -63,11 +63,12 @@
 // Queue is what the operators state of a kind of jobs.
 type Queue struct {
 	Name        string  `json:"n"`
-	Pool        string  `json:"s"` // workers that may run its tasks
-	Priority    int     `json:"p"` // 0 comes first and may preempt others
-	MaxAttempts int     `json:"a"` // failed runs of a task that end its job
-	Stretch     float64 `json:"x"` // objective as a multiple of the longest chain of work
-	TargetMS    int64   `json:"l"` // added to the objective
+	Pool        string  `json:"s"`           // workers that may run its tasks
+	Priority    int     `json:"p"`           // 0 comes first and may preempt others
+	MaxAttempts int     `json:"a"`           // failed runs of a task that end its job
+	Stretch     float64 `json:"x"`           // objective as a multiple of the longest chain of work
+	TargetMS    int64   `json:"l"`           // added to the objective
+	Advised     bool    `json:"v,omitempty"` // only some workers may run a step, and a service knows which
 }
 
 // Runs is how often the steps run.
--- /dev/null
+++ b/placing/advice.go
@@ -0,0 +1,123 @@
+package placing
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// askAtOnce is how many workers one question names. Its answer takes longer
+	// with each, and the users count thirty in a step's objective.
+	askAtOnce = 30
+	// ticketSlack is kept off a ticket's life for the record of a placement and
+	// the way of the start.
+	ticketSlack = 400 * time.Millisecond
+	// askAgain is the pause after a question that was not answered.
+	askAgain = 200 * time.Millisecond
+)
+
+// Ask is a question which of some workers may run a step, for the service that
+// knows. One is under way at a time, as the service answers an instance's
+// questions one after the other.
+type Ask struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Workers    []string
+}
+
+// advice is what is known of the workers that a step may run on.
+type advice struct {
+	tickets map[string]ticket
+	barred  map[string]bool // may never run it
+}
+
+// ticket lets a worker run a step's tasks for some time.
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+// advised reports whether the policy of the unit's queue lets a node run it
+// now, as far as is known.
+func (u *unit) advised(node *node) bool {
+	if !u.job.queue.Advised {
+		return true
+	}
+	known := u.step.advice
+	return known != nil && u.now.Before(known.tickets[node.entry.ID].until)
+}
+
+// ask asks for the first unit that has no seats and workers to ask about.
+func (e *Engine) ask(unit *unit, open *view, now time.Time) {
+	if !unit.job.queue.Advised || e.asking != nil || now.Before(e.askAfter) {
+		return
+	}
+	workers := unit.toAsk(open, now)
+	if len(workers) == 0 {
+		return
+	}
+	e.asking = unit.step
+	key := unit.tasks[0].key
+	e.plan.Ask = &Ask{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Workers: workers}
+}
+
+// toAsk lists the nodes that would suit a unit and of which no ticket is known,
+// emptiest first, as they are the likeliest to seat it.
+func (u *unit) toAsk(open *view, now time.Time) []string {
+	known := u.step.advice
+	var nodes []*node
+	for _, node := range open.nodes {
+		suits := node.entry.Pool == u.job.queue.Pool && node.entry.HasLabel(u.step.spec.RequiredLabel)
+		if known != nil {
+			suits = suits && !known.barred[node.entry.ID] && !now.Before(known.tickets[node.entry.ID].until)
+		}
+		if suits {
+			nodes = append(nodes, node)
+		}
+	}
+	sort.SliceStable(nodes, func(a, b int) bool { return cores(open.free[nodes[a].at]) > cores(open.free[nodes[b].at]) })
+	var list []string
+	for _, node := range nodes[:min(askAtOnce, len(nodes))] {
+		list = append(list, node.entry.ID)
+	}
+	return list
+}
+
+// Advised takes the answer to a question that was sent at sentAt: tickets by
+// worker, valid for some time. Workers without one may never run the step. ok
+// is false if no answer came.
+func (e *Engine) Advised(ask Ask, ok bool, tickets map[string]string, valid time.Duration, sentAt, now time.Time) {
+	asked := e.asking
+	e.asking = nil
+	if !ok {
+		e.askAfter = now.Add(askAgain)
+		return
+	}
+	if asked.advice == nil {
+		asked.advice = &advice{tickets: map[string]ticket{}, barred: map[string]bool{}}
+	}
+	for _, worker := range ask.Workers {
+		text, good := tickets[worker]
+		if good {
+			asked.advice.tickets[worker] = ticket{text: text, until: sentAt.Add(valid - ticketSlack)}
+		} else {
+			asked.advice.barred[worker] = true
+		}
+	}
+}
+
+// ticketOf is what a start of a task on a worker carries.
+func (s *step) ticketOf(worker string) string {
+	if s.advice == nil {
+		return ""
+	}
+	return s.advice.tickets[worker].text
+}
+
+// ticketRefused forgets a ticket that the worker did not take.
+func (s *step) ticketRefused(worker string) {
+	if s.advice != nil {
+		delete(s.advice.tickets, worker)
+	}
+}
--- a/placing/care.go
+++ b/placing/care.go
@@ -68,6 +68,9 @@
 // once if it cannot be finished and saves nothing, else just in time.
 func (e *Engine) mustLeave(run *run, now time.Time) bool {
 	left := run.node.leaveAt.Sub(now)
+	if run.task.step.spec.Lasting {
+		return run.task.step.mayMiss(run) || left < e.limits.StopWithin+leaveSlack
+	}
 	if e.remaining(run, now) <= left {
 		return false
 	}
@@ -77,6 +80,18 @@
 	return true
 }
 
+// mayMiss reports whether one more task of a lasting step may be away, if run's
+// is one.
+func (s *step) mayMiss(run *run) bool {
+	away := 0
+	for _, other := range s.tasks {
+		if other.run != run && (other.run == nil || other.run.percent < 100) {
+			away++
+		}
+	}
+	return away < max(1, s.spec.MayMiss)
+}
+
 // remaining is how long a run still takes, by its own progress so far.
 func (e *Engine) remaining(run *run, now time.Time) time.Duration {
 	expected := e.runtime(run.task.step.job, run.task.key.Step)
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -45,6 +45,8 @@
 	ackFlight   map[*node]int64
 	passedAt    time.Time
 	summedAt    time.Time // see summarize
+	asking      *step     // for which a question is under way
+	askAfter    time.Time
 	formerLapse time.Time // when all leases that former holders granted have lapsed
 	complete    bool      // see Complete
 	scans       int64     // counts decisions, for those that need not be taken each time
@@ -76,6 +78,7 @@
 	Worker     string
 	Spec       string
 	Checkpoint string
+	Ticket     string // of the service that knows who may run the step, if its queue has one
 }
 
 // Stop is an order to stop a run.
@@ -100,6 +103,8 @@
 	Starts  []Start          // to be sent
 	Stops   []Stop           // to be sent
 	Acks    map[string]int64 // by worker: ends that may be forgotten
+	Paces   []Pace           // to be sent; call PaceAnswered
+	Ask     *Ask             // to be asked; call Advised with the answer
 	Forget  []string         // workers that need not be watched any more
 	Expired []string         // ended jobs whose records can be dropped
 	Notes   []Note           // what was decided and why
--- a/placing/fit.go
+++ b/placing/fit.go
@@ -92,7 +92,8 @@
 // serves reports whether a node may run the unit's tasks.
 func (n *node) serves(unit *unit) bool {
 	avoided := unit.tasks[0].avoid != "" && unit.tasks[0].avoid == n.entry.ID
-	return !avoided && n.entry.Pool == unit.job.queue.Pool && n.entry.HasLabel(unit.step.spec.RequiredLabel)
+	suits := n.entry.Pool == unit.job.queue.Pool && n.entry.HasLabel(unit.step.spec.RequiredLabel)
+	return !avoided && suits && unit.advised(n)
 }
 
 // seats is how many tasks of a step fit on a node, up to most.
--- a/placing/job.go
+++ b/placing/job.go
@@ -37,6 +37,7 @@
 	left      int       // tasks not done
 	readyAt   time.Time // when its turn came; zero before
 	roomAfter time.Time // no room is looked for before
+	advice    *advice   // nil until something is known
 }
 
 // task is one task.
@@ -66,19 +67,22 @@
 // run is one run of a task, from its placement until it is certain that it
 // neither runs nor will.
 type run struct {
-	task       *task
-	number     int
-	node       *node
-	phase      phase
-	orderedAt  time.Time
-	startedAt  time.Time // when the worker was known to have it
-	percent    int
-	percentAt  time.Time // when percent last grew
-	stopSentAt time.Time
-	stopDoneAt time.Time // when the worker took the stop
-	why        string    // of the stop
-	seen       bool      // a report of the worker has shown it
-	wantNode   bool      // restored from the log; its worker has not reported yet
+	task        *task
+	number      int
+	node        *node
+	phase       phase
+	orderedAt   time.Time
+	startedAt   time.Time // when the worker was known to have it
+	percent     int
+	percentAt   time.Time // when percent last grew
+	stopSentAt  time.Time
+	stopDoneAt  time.Time // when the worker took the stop
+	why         string    // of the stop
+	seen        bool      // a report of the worker has shown it
+	slowed      bool      // works at pacePercent, of a hundred
+	pacePercent int
+	paceSentAt  time.Time
+	wantNode    bool // restored from the log; its worker has not reported yet
 }
 
 func newJob(submission *jobs.Submission, queue jobs.Queue, now time.Time, nowMS int64) *job {
--- /dev/null
+++ b/placing/lasting_test.go
@@ -0,0 +1,134 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+func lastingStep(tasks int) jobs.Step {
+	step := testStep(tasks, 1)
+	step.Lasting = true
+	return step
+}
+
+// report has a worker list its runs, with a load for those that serve.
+func (c *cluster) report(id string, load int64) Plan {
+	var rows []RunningTask
+	for _, run := range c.engine.nodes[id].runs {
+		row := RunningTask{Task: run.task.key, Run: run.number, Percent: 100}
+		if run.task.step.spec.ResponseTarget > 0 {
+			row.Load = load
+		}
+		rows = append(rows, row)
+	}
+	c.engine.Report(id, c.now, rows, nil, time.Time{}, c.now)
+	return c.engine.Decide(c.now)
+}
+
+// Lasting tasks start again however they end, count no attempts, and are not
+// stopped for urgent work.
+func TestLastingTasksStartAgainHoweverTheyEnd(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	c.submit(testJob(hexID(1), 2, lastingStep(1)))
+	c.steps(2)
+	for number, how := range []How{EndFailed, EndDone, EndLapsed, EndFailed, EndBroken} {
+		task := c.engine.jobs[hexID(1)].allTasks()[0]
+		is.True(task.run != nil)
+		worker := task.run.node.entry.ID
+		end := EndedTask{Number: int64(number + 1), Task: task.key, Run: task.run.number, How: how}
+		c.ends[worker]++
+		end.Number = c.ends[worker]
+		c.engine.Report(worker, c.now, nil, []EndedTask{end}, time.Time{}, c.now)
+		c.now = c.now.Add(2 * restMost)
+		c.steps(3)
+	}
+	is.True(c.begun(hexID(1)))
+	is.Equal(c.engine.jobs[hexID(1)].state, jobs.StateRunning)
+	for index := range 4 {
+		c.submit(testJob(hexID(10+index), 0, gangStep(1, 8)))
+	}
+	c.steps(60)
+	is.True(c.begun(hexID(1)))
+}
+
+// Lasting tasks leave a worker that is about to go while enough others of their
+// step are at work, and in any case before it goes.
+func TestLastingTasksLeaveAWorkerInTime(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	step := lastingStep(2)
+	step.PerWorker = 1
+	step.MayMiss = 1
+	c.submit(testJob(hexID(1), 1, step))
+	c.steps(2)
+	for _, id := range c.ids {
+		c.report(id, 0)
+	}
+	leaving := c.engine.jobs[hexID(1)].allTasks()[0].run.node
+	var entries []WorkerEntry
+	for _, id := range c.ids {
+		entry := c.engine.nodes[id].entry
+		if id == leaving.entry.ID {
+			entry.Leaving, entry.Remaining = true, 5*time.Second
+		}
+		entries = append(entries, entry)
+	}
+	c.engine.List(entries, c.now)
+	c.steps(3)
+	is.True(c.begun(hexID(1)))
+	is.Equal(len(leaving.runs), 0)
+}
+
+// Nothing new starts on a worker that leaves, or that the list does not name.
+func TestLeavingWorkersGetNothingNew(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	entries := []WorkerEntry{testWorker("w00", "r1-0"), testWorker("w01", "r1-0"), testWorker("w02", "r1-0")}
+	entries[0].Leaving, entries[0].Remaining = true, time.Minute
+	c.engine.List(entries, c.now) // w03 is not named
+	c.submit(testJob(hexID(1), 0, testStep(32, 1)))
+	c.steps(3)
+	is.Equal(len(c.engine.nodes["w00"].runs), 0)
+	is.True(c.engine.nodes["w03"] == nil)
+	is.Equal(len(c.engine.nodes["w01"].runs)+len(c.engine.nodes["w02"].runs), 16)
+}
+
+// Tasks that fill stand still as soon as a serving task beside them misses its
+// target, and work again step by step once it meets it.
+func TestFillingTasksGiveWayToServingOnes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	serving := lastingStep(1)
+	serving.ResponseTarget = 100
+	c.submit(testJob(hexID(1), 0, serving))
+	filling := testStep(3, 1)
+	filling.Fills = true
+	c.submit(testJob(hexID(2), 2, filling))
+	c.steps(2)
+	worker := c.engine.jobs[hexID(1)].allTasks()[0].run.node.entry.ID
+	share := func(load int64) []int {
+		var list []int
+		for _, pace := range c.report(worker, load).Paces {
+			list = append(list, pace.Percent)
+			c.engine.PaceAnswered(pace)
+		}
+		return list
+	}
+	is.Equal(len(share(90)), 0)
+	is.Equal(share(120), []int{0, 0, 0})
+	is.Equal(len(share(130)), 0) // they stand already
+	c.now = c.now.Add(paceEvery)
+	is.Equal(len(share(90)), 0) // too close to the target
+	is.Equal(share(50), []int{paceStep, paceStep, paceStep})
+	is.Equal(len(share(50)), 0) // one step at a time
+	for range 20 {
+		c.now = c.now.Add(paceEvery)
+		share(50)
+	}
+	is.Equal(c.engine.nodes[worker].pacing.share(), fullPace)
+}
--- a/placing/node.go
+++ b/placing/node.go
@@ -37,6 +37,7 @@
 	fullUntil time.Time      // it refused for room; its next report tells
 	leaveAt   time.Time      // when it may be gone, while leaving
 	health    health
+	pacing    pacing
 }
 
 // add enters a run that may be there.
--- a/placing/place.go
+++ b/placing/place.go
@@ -75,12 +75,16 @@
 	seats := e.seatsFor(unit, held, open, now)
 	if len(seats) > 0 {
 		e.seat(unit, seats, open, now)
+		if len(seats) < len(unit.tasks) {
+			e.ask(unit, open, now)
+		}
 		return
 	}
 	if held != nil {
 		unit.setAside(held, open)
 		return
 	}
+	e.ask(unit, open, now)
 	if unit.tier == tierUrgent {
 		e.makeRoom(unit, open, now)
 	}
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -46,6 +46,7 @@
 	tier       tier
 	density    float64 // value for each core-second that it still takes
 	deadline   time.Time
+	now        time.Time       // of the pass
 	guaranteed bool            // has to begin within the reclaim time
 	overdrawn  map[string]bool // workspaces whose urgent work may be stopped for it
 }
@@ -159,7 +160,7 @@
 	objective := e.objective(job, occurrence)
 	begin := e.begin(job, occurrence)
 	finish := now.Add(e.chain(job, occurrence, true))
-	made := &unit{job: job, occurrence: occurrence, deadline: begin.Add(objective)}
+	made := &unit{job: job, occurrence: occurrence, deadline: begin.Add(objective), now: now}
 	onTime := !finish.After(begin.Add(objective))
 	late := !finish.After(begin.Add(lateFactor * objective))
 	switch {
--- a/placing/report.go
+++ b/placing/report.go
@@ -31,6 +31,7 @@
 	}
 	listed := e.running(known, running, now)
 	e.settleMissing(known, listed, sentAt, now)
+	e.pace(known, running, now)
 	if len(ended) > 0 && known.seenEnd > 0 {
 		e.ackPending[known] = known.seenEnd
 	}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -14,6 +14,7 @@
 const (
 	StartAccepted StartResult = iota
 	StartRefused              // it did and will do nothing
+	StartNoTicket             // refused, as it carried no valid ticket
 	StartNoRoom               // refused, as the task does not fit there now
 	StartBusy                 // refused, as the worker is unhealthy
 	StartUnknown              // no answer; it may take effect, also later
@@ -57,6 +58,7 @@
 		Worker:     run.node.entry.ID,
 		Spec:       run.task.step.job.submission.Spec,
 		Checkpoint: run.task.checkpoint,
+		Ticket:     run.task.step.ticketOf(run.node.entry.ID),
 	})
 }
 
@@ -93,6 +95,8 @@
 		return // an earlier copy of the order is at work
 	}
 	switch result {
+	case StartNoTicket:
+		run.task.step.ticketRefused(run.node.entry.ID)
 	case StartNoRoom:
 		run.node.fullUntil = now.Add(fullPause)
 	case StartBusy:
