--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -219,9 +219,10 @@
 
 func TestComeBackLaterEarlyInAnOutage(t *testing.T) {
 	is := is.New(t)
-	is.Equal(comeBack(0, 0), retryAway)
-	is.Equal(comeBack(1, 0), retryEarly)
-	is.Equal(comeBack(1, youngOutage), retryAway)
+	is.Equal(comeBack(0, 0, false), retryAway)
+	is.Equal(comeBack(1, 0, false), retryEarly)
+	is.Equal(comeBack(1, youngOutage, false), retryAway)
+	is.Equal(comeBack(1, youngOutage, true), retryElsewhere)
 }
 
 // lossyStore takes appends into its log and loses their answers.
--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -22,6 +22,11 @@
 	// helperRest is how long an instance that did not answer, or that has lost
 	// the store too, is not asked again.
 	helperRest = 700 * time.Millisecond
+	// aloneAfter calls of others in a row that none answered, this instance counts
+	// as cut off from them as well, for aloneFor: the store's outages leave the
+	// others in reach, a cut of this machine does not.
+	aloneAfter = 2
+	aloneFor   = 600 * time.Millisecond
 	// registerAgain is the pause before the own address is written again after
 	// a failure.
 	registerAgain = time.Second
@@ -33,8 +38,10 @@
 	client *relay.Client
 	clock  *Clock
 
-	lock    sync.Mutex
-	restsTo map[string]time.Time // by address
+	lock     sync.Mutex
+	restsTo  map[string]time.Time // by address
+	unheard  int                  // calls in a row that nobody answered
+	failedAt time.Time            // the last of them
 }
 
 func newHelpers(clock *Clock) *helpers {
@@ -66,12 +73,31 @@
 	ctx, cancel := context.WithTimeout(ctx, helperTimeout)
 	defer cancel()
 	answer, err := h.client.Call(ctx, address, call)
+	h.count(err == nil)
 	if err != nil {
 		h.rest(address)
 	}
 	return answer, err
 }
 
+func (h *helpers) count(heard bool) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if heard {
+		h.unheard = 0
+		return
+	}
+	h.unheard++
+	h.failedAt = h.clock.Now()
+}
+
+// alone reports whether none of the others seems to be in reach.
+func (h *helpers) alone() bool {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.unheard >= aloneAfter && h.clock.Now().Sub(h.failedAt) < aloneFor
+}
+
 // write has another instance append a record. ErrNotDone says that none did or
 // will.
 func (h *helpers) write(ctx context.Context, addresses []string, record jobs.Record) error {
@@ -134,6 +160,9 @@
 	i.foldLock.Lock()
 	known := i.fold.table.Instances()
 	i.foldLock.Unlock()
+	if i.helpers.alone() {
+		return nil
+	}
 	return i.helpers.choose(known, i.settings.Name)
 }
 
--- a/batch/order_test.go
+++ b/batch/order_test.go
@@ -113,3 +113,20 @@
 	link.look(sent.Add(time.Millisecond))
 	is.Equal(context.Cause(ctx), errLook)
 }
+
+// An instance that none of the others answers counts as cut off, until one does
+// or some time has passed.
+func TestInstanceThatNobodyAnswersIsAlone(t *testing.T) {
+	is := is.New(t)
+	h := newHelpers(NewClock())
+	h.count(false)
+	is.True(!h.alone()) // one may be down
+	h.count(false)
+	is.True(h.alone())
+	h.count(true)
+	is.True(!h.alone())
+	h.count(false)
+	h.count(false)
+	h.failedAt = h.clock.Now().Add(-aloneFor)
+	is.True(!h.alone()) // they are asked again
+}
--- a/batch/serve.go
+++ b/batch/serve.go
@@ -34,6 +34,10 @@
 	// instances that were asked: outages last three to seven seconds, and callers
 	// come back four times.
 	retryAway = time.Second
+	// retryElsewhere is told by an instance that reaches neither the store nor the
+	// others: they are likely to be better off, and urgent jobs have a second to
+	// spare.
+	retryElsewhere = 100 * time.Millisecond
 	// retryEarly replaces it in the first youngOutage of an outage, for jobs that
 	// are not urgent: their objective leaves time, and four tries a second apart
 	// would be over before the store is back.
@@ -71,7 +75,7 @@
 	case err == nil:
 		return Outcome{Verdict: Accepted, Reason: "stored"}
 	case errors.Is(err, ErrNotDone):
-		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: comeBack(submission.Queue.Priority, i.work.awayFor())}
+		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: i.comeBack(submission.Queue.Priority)}
 	}
 	if i.known(submission.ID) {
 		return Outcome{Verdict: Accepted, Reason: "read back"}
@@ -79,8 +83,15 @@
 	return Outcome{Verdict: Undecided, Reason: "store did not answer", RetryAfter: retryAway}
 }
 
+func (i *Instance) comeBack(priority int) time.Duration {
+	return comeBack(priority, i.work.awayFor(), i.helpers.alone())
+}
+
 // comeBack is when the caller of a refused submission is to come back.
-func comeBack(priority int, away time.Duration) time.Duration {
+func comeBack(priority int, away time.Duration, alone bool) time.Duration {
+	if alone {
+		return retryElsewhere
+	}
 	if priority > 0 && away < youngOutage {
 		return retryEarly
 	}
@@ -104,7 +115,7 @@
 	}
 	err := i.write(ctx, jobs.CancelRecord(id))
 	if errors.Is(err, ErrNotDone) {
-		return Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
+		return Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: i.comeBack(0)}
 	}
 	if err != nil {
 		return Outcome{Verdict: Undecided, Reason: err.Error(), RetryAfter: retryAway}
@@ -137,7 +148,7 @@
 	case ok:
 		return known, Outcome{Verdict: Accepted, Reason: "as known before the store was lost"}
 	}
-	return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
+	return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: i.comeBack(0)}
 }
 
 // ownState looks a job up in the fold. Unless its state is final, what the
