--- a/batch/serve.go
+++ b/batch/serve.go
@@ -125,7 +125,24 @@
 
 // State answers what became of a job.
 func (i *Instance) State(ctx context.Context, id string) (jobs.State, Outcome) {
-	return i.state(ctx, id)
+	state, outcome := i.state(ctx, id)
+	if state.Final() && i.firstTold(id) {
+		i.chronicle.write(i.log, "state_told", logrus.Fields{"job": id, "state": string(state), "log_age_ms": sinceMS(i.clock.Now(), i.work.heardAt())})
+	}
+	return state, outcome
+}
+
+// firstTold notes that a caller is told of a job's final state, and reports
+// whether none was before.
+func (i *Instance) firstTold(id string) bool {
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
+	job := i.fold.table.Job(id)
+	if job == nil || job.Told {
+		return false
+	}
+	job.Told = true
+	return true
 }
 
 // state looks a job up, here or, while the store is out of reach, through
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -10,6 +10,7 @@
 	Submission *Submission // nil while only other records of it were read
 	Progress   []byte      // value of the newest progress record; nil before the first task was placed
 	Cancelled  bool        // a cancellation is on record
+	Told       bool        // a caller of this instance was told of the final state
 	Parts      uint64      // parts of the stream in which records of it were read, a bit each
 	progressAt int64       // offset of Progress plus one
 	state      State       // as Progress says
