States of jobs and their progress lie in parts of their own

Ruled out: the holder's appends and decisions (none over 20 ms), contact with the store (lines of every question in a trial copy show it). Change: what every instance reads has the term and one byte for each change of a job's state; progress goes to the store's last part, before the state that follows from it, and is read by the holder and the few that would claim first. A new holder appends a fence there, then reads all of it, then decides. A state that a former holder did not come to write is written again. The state is dropped last. Six parts are left for callers' records. Tests: TestProgressIsWrittenBeforeStates, TestFenceEndsFormerProgress, TestStateRecordsAloneTellTheState; TestForgottenJobsAreGone now follows the longer order of dropping and checks one step more; the fold's interleavings have three parts.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -70,7 +70,7 @@
 	is := is.New(t)
 	for number := range 50 {
 		id := strconv.Itoa(number)
-		is.Equal(partOf(id, 1), progressPart)
+		is.Equal(partOf(id, 1), statePart)
 		is.True(partOf(id, 8) >= 1 && partOf(id, 8) <= callParts)
 		is.Equal(partOf(id, 2), 1)
 	}
@@ -283,14 +283,79 @@
 		instance := New(Settings{Name: "a", StoreParts: 8}, store, nil, nil, metrics.NewRegistry(), quietLog())
 		l := &leader{instance: instance, clock: instance.clock, log: quietLog()}
 		sent := jobs.Term{Epoch: 3, Holder: "a/1", Renewals: 7}
-		writer := newFencedWriter(store, l, sent, 1)
+		writer := newFencedWriter(l, sent, 1)
 		record, err := jobs.TermRecord(jobs.Term{Epoch: 3, Holder: "a/1", Renewals: 6})
 		is.NoErr(err)
-		instance.fold.apply(progressPart, Batch{Records: []jobs.Record{record}, Offsets: []int64{0}})
-		is.Equal(writer.try(t.Context(), sent, nil), ErrUnknown)
+		instance.fold.apply(statePart, Batch{Records: []jobs.Record{record}, Offsets: []int64{0}})
+		is.Equal(writer.states.try(t.Context(), nil), ErrUnknown)
 		record, err = jobs.TermRecord(sent)
 		is.NoErr(err)
-		instance.fold.apply(progressPart, Batch{Records: []jobs.Record{record}, Offsets: []int64{1}})
-		is.NoErr(writer.try(t.Context(), sent, nil))
+		instance.fold.apply(statePart, Batch{Records: []jobs.Record{record}, Offsets: []int64{1}})
+		is.NoErr(writer.states.try(t.Context(), nil))
 	})
 }
+
+// partedStore keeps the appends of each part, and refuses epochs below the
+// highest of the part.
+type partedStore struct {
+	Store
+	parts  map[int][]jobs.Record
+	epochs map[int]int64
+}
+
+func newPartedStore() *partedStore {
+	return &partedStore{parts: map[int][]jobs.Record{}, epochs: map[int]int64{}}
+}
+
+func (s *partedStore) Append(_ context.Context, part int, records []jobs.Record, fence *Fence) error {
+	if fence.Epoch < s.epochs[part] {
+		return ErrFenced
+	}
+	s.epochs[part] = fence.Epoch
+	s.parts[part] = append(s.parts[part], records...)
+	return nil
+}
+
+func (s *partedStore) keys(part int) []string {
+	var keys []string
+	for _, record := range s.parts[part] {
+		keys = append(keys, record.Key)
+	}
+	return keys
+}
+
+func writerOf(store Store, epoch int64) *fencedWriter {
+	instance := New(Settings{Name: "a", StoreParts: 8}, store, nil, nil, metrics.NewRegistry(), quietLog())
+	l := &leader{instance: instance, clock: instance.clock, log: quietLog()}
+	return newFencedWriter(l, jobs.Term{Epoch: epoch, Holder: "a/1"}, 1)
+}
+
+// Progress goes to a part of its own, before the states that follow from it;
+// only states come with the term, so that standbys read little.
+func TestProgressIsWrittenBeforeStates(t *testing.T) {
+	is := is.New(t)
+	store := newPartedStore()
+	writer := writerOf(store, 3)
+	progress, err := jobs.ProgressRecord("a1", &jobs.Progress{State: jobs.StateDone})
+	is.NoErr(err)
+	is.NoErr(writer.write(t.Context(), group{details: []jobs.Record{progress}, states: []jobs.Record{jobs.StateRecord("a1", jobs.StateDone)}}))
+	is.Equal(store.keys(7), []string{"p/a1"})
+	is.Equal(store.keys(statePart), []string{"term", "e/a1"})
+	store.epochs[7] = 9 // a later holder has fenced the progress
+	is.Equal(writer.write(t.Context(), group{details: []jobs.Record{progress}, states: []jobs.Record{jobs.StateRecord("a1", jobs.StateDone)}}), ErrFenced)
+	is.Equal(len(store.keys(statePart)), 2) // no state without its progress
+}
+
+// From the fence on, a former holder writes no progress; what it wrote before is
+// read after it.
+func TestFenceEndsFormerProgress(t *testing.T) {
+	is := is.New(t)
+	store := newPartedStore()
+	former, next := writerOf(store, 3), writerOf(store, 4)
+	progress, err := jobs.ProgressRecord("a1", &jobs.Progress{State: jobs.StateRunning})
+	is.NoErr(err)
+	is.NoErr(former.write(t.Context(), group{details: []jobs.Record{progress}}))
+	is.NoErr(next.fence(t.Context()))
+	is.Equal(former.write(t.Context(), group{details: []jobs.Record{progress}}), ErrFenced)
+	is.Equal(store.keys(7), []string{"p/a1", "fence"})
+}
--- a/batch/claim.go
+++ b/batch/claim.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimAgain)
 	defer cancel()
 	fence := &Fence{Epoch: i.claimed.Epoch, Sequence: i.claimSequence}
-	err = i.store.Append(ctx, progressPart, []jobs.Record{record}, fence)
+	err = i.store.Append(ctx, statePart, []jobs.Record{record}, fence)
 	i.log.WithField("epoch", i.claimed.Epoch).WithField("former", current.Holder).WithField("result", errorText(err)).Info("term_claimed")
 	if err == nil {
 		i.refreshTerm(ctx)
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// progressPart is the part of the work stream that the placing instance
-	// writes.
-	progressPart = 0
+	// statePart is the part of the work stream with the term and the states of
+	// jobs. The placing instance writes it, and every instance reads it.
+	statePart = 0
 	// callParts is the number of parts for what callers hand in, if the store has
 	// so many: it works on one append of a part at a time, which takes 0.3 s while
 	// it is slow. Each is one more long read in every instance.
-	callParts = 7
+	callParts = 6
 	// commitRing bounds the records that wait to be appended; with groups of
 	// up to commitGroup at 4 ms each, a full ring is half a second of work.
 	commitRing  = 512
@@ -36,13 +36,31 @@
 	commitStuck = 1200 * time.Millisecond
 )
 
+// detailPart is the part with the progress of jobs, the last one. The placing
+// instance writes it, and those read it that may place: it has tens of times as
+// much as all others. A store with few parts has none of its own for it.
+func detailPart(parts int) int {
+	if parts < 3 {
+		return statePart
+	}
+	return parts - 1
+}
+
+// callPartsOf is how many parts hold what callers hand in.
+func callPartsOf(parts int) int {
+	if parts < 3 {
+		return parts - 1
+	}
+	return min(callParts, parts-2)
+}
+
 // partOf is the part that holds what callers' records say of a subject, so that
 // one part tells whether a job is known.
 func partOf(subject string, parts int) int {
 	if parts < 2 {
-		return progressPart
+		return statePart
 	}
-	return 1 + int(xxhash.Sum64String(subject)%uint64(min(callParts, parts-1)))
+	return 1 + int(xxhash.Sum64String(subject)%uint64(callPartsOf(parts)))
 }
 
 // States of a commit.
--- a/batch/expire.go
+++ b/batch/expire.go
@@ -32,7 +32,10 @@
 			return err
 		}
 	}
-	return l.drop(ctx, progressPart, []jobs.Record{jobs.ForgetProgressRecord(id)})
+	if err := l.drop(ctx, detailPart(i.settings.StoreParts), []jobs.Record{jobs.ForgetProgressRecord(id)}); err != nil {
+		return err
+	}
+	return l.drop(ctx, statePart, []jobs.Record{jobs.ForgetStateRecord(id)})
 }
 
 func (l *leader) drop(ctx context.Context, part int, records []jobs.Record) error {
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -29,6 +29,8 @@
 	// callsWait is the same where callers write, on instances that do not place:
 	// what is asked for is read at once, so a silent connection delays nothing.
 	callsWait = 4 * time.Second
+	// unwantedPause is how often a follower looks whether it is wanted.
+	unwantedPause = 200 * time.Millisecond
 	// quietWait is the same where only operators write. A read on a
 	// connection that has gone silent is given up readSlack after it, which must
 	// leave room in the two seconds in which a configuration comes into force.
@@ -47,6 +49,7 @@
 	reset  func()               // called before newest records are read again
 	gap    func() time.Duration // pause after a read that brought records
 	wait   func() time.Duration // how long a read may wait for one
+	wanted func() bool          // whether to follow now; nil for always
 
 	lock     *sync.Mutex // held while records are applied; may be shared
 	next     int64
@@ -60,6 +63,11 @@
 func (f *follower) run(ctx context.Context) {
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if f.wanted != nil && !f.wanted() {
+			f.unload()
+			logstream.Sleep(ctx, unwantedPause)
+			continue
+		}
 		if err := f.once(ctx); err != nil && ctx.Err() == nil {
 			f.lost(err)
 			if !logstream.Sleep(ctx, pause) {
@@ -112,6 +120,31 @@
 	return nil
 }
 
+// unload forgets how far the stream was read: it is read whole once it is
+// wanted again, as by then it has mostly gone on far.
+func (f *follower) unload() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.loaded = false
+}
+
+// catchUp reads all that was written before the call.
+func (f *follower) catchUp(ctx context.Context) error {
+	if !f.isLoaded() {
+		return f.load(ctx)
+	}
+	for {
+		before := f.position()
+		err := f.refresh(ctx)
+		if errors.Is(err, ErrForgotten) {
+			return f.load(ctx)
+		}
+		if err != nil || f.position() == before {
+			return err
+		}
+	}
+}
+
 // take applies a batch, or the part of it that is new.
 func (f *follower) take(batch Batch, sent time.Time) {
 	f.lock.Lock()
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -56,7 +56,8 @@
 	config        atomic.Pointer[Config]
 	configChanged atomic.Bool
 	operator      *follower
-	work          *follower   // of the part that the placing instance writes
+	work          *follower   // of the part with the term and the states
+	detail        *follower   // of the part with the progress; nil if it is the same
 	calls         []*follower // of the parts that callers' records go to
 	fold          *workFold
 	foldLock      sync.Mutex
@@ -65,6 +66,7 @@
 	chronicle     *chronicle
 
 	draining      atomic.Bool
+	leading       atomic.Bool
 	handOver      chan struct{} // closed when the term is to be given up
 	claimed       jobs.Term     // the last claim of this process
 	claimSequence int64
@@ -92,16 +94,22 @@
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, quietWait)
 	i.operator.apply = i.applyConfig
 	i.operator.gap = func() time.Duration { return configPause }
-	i.work = i.newWorkFollower(progressPart)
-	for part := 1; part <= min(callParts, settings.StoreParts-1); part++ {
+	i.work = i.newWorkFollower(statePart)
+	if part := detailPart(settings.StoreParts); part != statePart {
+		i.detail = i.newDetailFollower(part)
+	}
+	for part := 1; part <= callPartsOf(settings.StoreParts); part++ {
 		i.calls = append(i.calls, i.newWorkFollower(part))
 		i.committers = append(i.committers, i.newCommitter(part))
 	}
 	if len(i.committers) == 0 {
-		i.committers = append(i.committers, i.newCommitter(progressPart))
+		i.committers = append(i.committers, i.newCommitter(statePart))
 	}
 	i.kernel.AddDuty("configuration", i.operator.run)
 	i.kernel.AddDuty("work", i.work.run)
+	if i.detail != nil {
+		i.kernel.AddDuty("progress", i.detail.run)
+	}
 	for _, calls := range i.calls {
 		i.kernel.AddDuty("calls", calls.run)
 	}
@@ -126,24 +134,34 @@
 	return made
 }
 
+// newDetailFollower follows the progress of jobs, while this instance places or
+// is one of those that would claim a vacant term first.
+func (i *Instance) newDetailFollower(part int) *follower {
+	made := i.newWorkFollower(part)
+	made.gap = func() time.Duration { return i.workPause(statePart) }
+	made.wait = func() time.Duration { return progressWait }
+	made.wanted = func() bool { return i.leading.Load() || i.watchful() }
+	return made
+}
+
 // workWait is how long a read of a part may wait for records. The holder of the
 // term waits shortly everywhere, as a connection that has gone silent would hide
 // new jobs from it.
 func (i *Instance) workWait(part int) time.Duration {
-	if part == progressPart || i.fold.watching.Load() {
+	if part == statePart || i.fold.watching.Load() {
 		return progressWait
 	}
 	return callsWait
 }
 
 func (i *Instance) workPause(part int) time.Duration {
-	if i.fold.watching.Load() && part == progressPart {
+	if i.fold.watching.Load() && part == statePart {
 		return ownPause
 	}
 	if i.fold.watching.Load() {
 		return holderPause
 	}
-	if part != progressPart {
+	if part != statePart {
 		return callsPause
 	}
 	if i.watchful() {
@@ -280,7 +298,7 @@
 
 // follower is the one of a part of the work stream.
 func (i *Instance) follower(part int) *follower {
-	if part == progressPart {
+	if part == statePart {
 		return i.work
 	}
 	return i.calls[part-1]
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -24,6 +24,10 @@
 	// listPause is the pause between reads of the workers' list, which changes
 	// some thirty times a second; a leaving worker must be known in 2 s.
 	listPause = 400 * time.Millisecond
+	// prepareTimeout bounds what comes before the first decision: an append and
+	// the reading of all progress, a megabyte or two. It takes some 50 ms as a rule.
+	// A holder that cannot do it in that time leaves the term to another.
+	prepareTimeout = 2500 * time.Millisecond
 	// handOverTimeout bounds the last append of a holder that is stopped.
 	handOverTimeout = 500 * time.Millisecond
 )
@@ -65,8 +69,14 @@
 		entries:  map[string]placing.WorkerEntry{},
 		ctx:      ctx,
 	}
-	l.writer = newFencedWriter(i.store, l, term, sequence)
+	l.writer = newFencedWriter(l, term, sequence)
 	l.log.WithField("handed_over", handedOver).Info("term_won")
+	i.leading.Store(true)
+	defer i.leading.Store(false)
+	if err := l.prepare(ctx); err != nil {
+		l.log.WithField("error", err.Error()).Warn("term_given_up")
+		return
+	}
 	i.metrics.leading.Update(1)
 	i.catchUp(ctx)
 	l.load(handedOver)
@@ -89,6 +99,19 @@
 	}()
 }
 
+// prepare keeps former holders from writing progress, and then reads all of it.
+func (l *leader) prepare(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	if err := l.writer.fence(ctx); err != nil {
+		return err
+	}
+	if detail := l.instance.detail; detail != nil {
+		return detail.catchUp(ctx)
+	}
+	return nil
+}
+
 // load gives the engine the fold as it is, and from then on what changes.
 func (l *leader) load(handedOver bool) {
 	i := l.instance
@@ -288,7 +311,7 @@
 		l.logNote(note)
 	}
 	if len(plan.Records) > 0 {
-		l.writer.offer(plan.Records)
+		l.writer.offer(plan.Records, plan.States)
 	}
 	for _, stop := range plan.Stops {
 		if link := l.links[stop.Worker]; link != nil {
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -7,50 +7,58 @@
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
-	"github.com/teaselcleat/teaselcleat/logstream"
 )
 
-const (
-	// fencedPause follows a try that the store refused.
-	fencedPause = 100 * time.Millisecond
-	// seenEvery is how often the fold is looked at for an append whose answer is
-	// awaited; the holder reads its own part of the log all the time.
-	seenEvery = 40 * time.Millisecond
-)
+// group is what the holder of the term writes down as one.
+type group struct {
+	details []jobs.Record // progress
+	states  []jobs.Record // written once the details are durable
+}
 
-// fencedWriter appends the holder's records one group at a time. A group is
-// repeated under its sequence number until its fate is known, so that it takes
-// effect once.
+// fencedWriter appends the holder's records one group at a time, and renews the
+// term.
 type fencedWriter struct {
-	store    Store
-	leader   *leader
-	groups   chan []jobs.Record
-	waiting  int // groups whose fate is open; used by the leader's loop alone
-	sequence int64
-	patience patience
+	leader  *leader
+	groups  chan group
+	waiting int // groups whose fate is open; used by the leader's loop alone
+	states  *fencedPart
+	details *fencedPart // nil if states and progress share a part
 
 	lock        sync.Mutex
 	term        jobs.Term
-	confirmedAt time.Time // when the last append that succeeded was sent
+	confirmedAt time.Time // when the last append to the states that succeeded was sent
 }
 
 // newFencedWriter continues after the append that claimed the term.
-func newFencedWriter(store Store, leader *leader, term jobs.Term, sequence int64) *fencedWriter {
-	return &fencedWriter{
-		store:       store,
+func newFencedWriter(leader *leader, term jobs.Term, sequence int64) *fencedWriter {
+	w := &fencedWriter{
 		leader:      leader,
-		groups:      make(chan []jobs.Record, 2), // the engine's and a renewal
-		sequence:    sequence,
+		groups:      make(chan group, 2), // the engine's and a renewal
 		term:        term,
 		confirmedAt: leader.clock.Now(),
 	}
+	i := leader.instance
+	w.states = &fencedPart{store: i.store, clock: i.clock, part: statePart, epoch: term.Epoch, sequence: sequence, seen: w.renewalSeen}
+	if part := detailPart(i.settings.StoreParts); part != statePart {
+		w.details = &fencedPart{store: i.store, clock: i.clock, part: part, epoch: term.Epoch, sequence: i.randomSequence(), seen: i.progressSeen}
+	}
+	return w
+}
+
+// fence keeps former holders from writing progress from now on. Those that lost
+// the term cannot write states any more, as the claim was written there.
+func (w *fencedWriter) fence(ctx context.Context) error {
+	if w.details == nil {
+		return nil
+	}
+	return w.details.append(ctx, []jobs.Record{jobs.FenceRecord()})
 }
 
 // offer takes the records of a plan; the engine gives the next ones only after
 // recorded.
-func (w *fencedWriter) offer(records []jobs.Record) {
+func (w *fencedWriter) offer(details, states []jobs.Record) {
 	w.waiting++
-	w.groups <- records
+	w.groups <- group{details: details, states: states}
 }
 
 // renewIfDue renews the term if nothing is on its way.
@@ -59,7 +67,7 @@
 		return
 	}
 	w.waiting++
-	w.groups <- nil
+	w.groups <- group{}
 }
 
 func (w *fencedWriter) confirmed() time.Time {
@@ -73,72 +81,56 @@
 		select {
 		case <-ctx.Done():
 			return
-		case group := <-w.groups:
-			w.write(ctx, group)
+		case next := <-w.groups:
+			w.report(ctx, next, w.write(ctx, next))
 		}
 	}
 }
 
-func (w *fencedWriter) write(ctx context.Context, group []jobs.Record) {
-	renewed := w.nextTerm()
-	renewal, err := jobs.TermRecord(renewed)
-	if err != nil {
-		panic("batch: a term cannot be encoded: " + err.Error())
-	}
-	records := append([]jobs.Record{renewal}, group...)
-	w.sequence++
-	for ctx.Err() == nil {
-		sent := w.leader.clock.Now()
-		err := w.try(ctx, renewed, records)
-		if err == nil {
-			w.confirm(sent)
-			w.leader.instance.metrics.appendTime.Update(w.leader.clock.Now().Sub(sent).Microseconds())
-			w.leader.events.Put(ctx, recorded{records: len(group)})
-			return
-		}
-		if errors.Is(err, ErrFenced) {
-			w.leader.events.Put(ctx, fencedOff{})
-			return
-		}
-		if errors.Is(err, ErrNotDone) {
-			logstream.Sleep(ctx, fencedPause)
-		}
+func (w *fencedWriter) report(ctx context.Context, written group, err error) {
+	switch {
+	case err == nil:
+		w.leader.events.Put(ctx, recorded{records: len(written.details)})
+	case errors.Is(err, ErrFenced):
+		w.leader.events.Put(ctx, fencedOff{})
 	}
 }
 
-// try sends records once, of which the first is the term as it becomes.
-func (w *fencedWriter) try(ctx context.Context, term jobs.Term, records []jobs.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, w.patience.limit())
-	defer cancel()
-	sent := w.leader.clock.Now()
-	answer := make(chan error, 1)
-	go func() {
-		answer <- w.store.Append(ctx, progressPart, records, &Fence{Epoch: w.term.Epoch, Sequence: w.sequence})
+// write appends a group: progress first, then the states with a renewal of the
+// term. A group without states renews the term only when that is due.
+func (w *fencedWriter) write(ctx context.Context, next group) error {
+	begin := w.leader.clock.Now()
+	defer func() {
+		w.leader.instance.metrics.appendTime.Update(w.leader.clock.Now().Sub(begin).Microseconds())
 	}()
-	err := w.await(answer, term)
-	if errors.Is(err, ErrUnknown) {
-		w.patience.lost()
-		return err
+	if w.details == nil {
+		return w.writeStates(ctx, append(next.details, next.states...))
 	}
-	w.patience.answered(w.leader.clock.Now().Sub(sent))
-	return err
-}
-
-// await waits for an append's answer, or for the fold to show the term that it
-// carries: the answer may be lost though the append took effect.
-func (w *fencedWriter) await(answer <-chan error, term jobs.Term) error {
-	looks := time.NewTicker(seenEvery)
-	defer looks.Stop()
-	for {
-		select {
-		case err := <-answer:
+	if len(next.details) > 0 {
+		if err := w.details.append(ctx, next.details); err != nil {
 			return err
-		case <-looks.C:
-		}
-		if w.leader.instance.term() == term {
-			return nil
 		}
 	}
+	due := w.leader.clock.Now().Sub(w.confirmed()) >= renewEvery
+	if len(next.details) > 0 && len(next.states) == 0 && !due {
+		return nil
+	}
+	return w.writeStates(ctx, next.states)
+}
+
+func (w *fencedWriter) writeStates(ctx context.Context, states []jobs.Record) error {
+	sent := w.leader.clock.Now()
+	renewal, err := jobs.TermRecord(w.nextTerm())
+	if err != nil {
+		panic("batch: a term cannot be encoded: " + err.Error())
+	}
+	if err := w.states.append(ctx, append([]jobs.Record{renewal}, states...)); err != nil {
+		return err
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.confirmedAt = sent
+	return nil
 }
 
 func (w *fencedWriter) nextTerm() jobs.Term {
@@ -148,10 +140,21 @@
 	return w.term
 }
 
-func (w *fencedWriter) confirm(sent time.Time) {
+// renewalSeen reports whether a group of states was read back, of which the
+// first record is the renewal. One that hands the term over is the last and
+// nothing is read after it.
+func (w *fencedWriter) renewalSeen([]jobs.Record) bool {
+	read := w.leader.instance.term()
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.confirmedAt = sent
+	return read == w.term
+}
+
+// progressSeen reports whether a group of progress was read back.
+func (i *Instance) progressSeen(records []jobs.Record) bool {
+	i.foldLock.Lock()
+	defer i.foldLock.Unlock()
+	return i.fold.table.HasProgress(records[len(records)-1])
 }
 
 // handOver gives the term up. An append on its way is waited for, as its
@@ -164,14 +167,16 @@
 		}
 		next.apply(w.leader, w.leader.clock.Now())
 	}
-	w.sequence++
+	w.lock.Lock()
+	w.term.Holder = ""
 	given := w.term
-	given.Holder = ""
+	w.lock.Unlock()
 	record, err := jobs.TermRecord(given)
 	if err != nil {
 		return err
 	}
-	return w.try(ctx, given, []jobs.Record{record})
+	w.states.sequence++
+	return w.states.try(ctx, []jobs.Record{record})
 }
 
 // recorded says that a group is durable.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -92,11 +92,34 @@
 	for offset, record := range ForgetCallRecords("a") {
 		applied(t, table, record, 1, int64(offset+1))
 	}
-	is.True(table.Job("a") != nil) // a second copy of the submission meets the progress
 	applied(t, table, ForgetProgressRecord("a"), 0, 1)
+	is.True(table.Job("a") != nil) // a second copy of the submission meets the state
+	is.Equal(table.Job("a").State(), StateDone)
+	applied(t, table, ForgetStateRecord("a"), 2, 2)
 	is.True(table.Job("a") == nil)
 }
 
+// Whoever reads no progress knows the state all the same, and a submission that
+// comes again while the state is kept is that of an ended job.
+func TestStateRecordsAloneTellTheState(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	submission, err := SubmissionRecord(exampleSubmission("a"))
+	applied(t, table, mustRecord(t, submission, err), 1, 0)
+	is.Equal(table.Job("a").State(), StateQueued)
+	applied(t, table, StateRecord("a", StateRunning), 0, 4)
+	is.Equal(table.Job("a").State(), StateRunning)
+	applied(t, table, StateRecord("a", StateDone), 0, 9)
+	applied(t, table, StateRecord("a", StateRunning), 0, 4) // a page was newer
+	applied(t, table, CancelRecord("a"), 1, 1)
+	is.Equal(table.Job("a").State(), StateDone)
+	for offset, record := range ForgetCallRecords("a") {
+		applied(t, table, record, 1, int64(offset+2))
+	}
+	applied(t, table, mustRecord(t, submission, err), 1, 7)
+	is.Equal(table.Job("a").State(), StateDone)
+}
+
 // Parts are read apart from each other: whatever their interleaving, the fold
 // ends the same.
 func TestFoldDoesNotDependOnInterleaving(t *testing.T) {
@@ -107,15 +130,17 @@
 			mustProgress(t, "a", &Progress{State: StateRunning}),
 			mustProgress(t, "a", &Progress{State: StateFailed, Reason: "r"}),
 		}
+		states := []Record{StateRecord("a", StateRunning), StateRecord("a", StateFailed)}
 		table := NewTable()
-		next := [2]int{}
-		for next[0] < len(calls) || next[1] < len(progress) {
-			part := rapid.IntRange(0, 1).Draw(t, "part")
-			stream := [][]Record{calls, progress}[part]
+		next := [3]int{}
+		streams := [][]Record{calls, progress, states}
+		for next[0] < len(calls) || next[1] < len(progress) || next[2] < len(states) {
+			part := rapid.IntRange(0, 2).Draw(t, "part")
+			stream := streams[part]
 			if next[part] == len(stream) {
 				continue
 			}
-			applied(t, table, stream[next[part]], 1-part, int64(next[part]))
+			applied(t, table, stream[next[part]], part, int64(next[part]))
 			next[part]++
 		}
 		if state := table.Job("a").State(); state != StateFailed {
@@ -127,6 +152,7 @@
 func FuzzRecords(f *testing.F) {
 	f.Add("p/a", []byte(`r{"t":[[0,1,0,0,"w",""]]}`))
 	f.Add("s/a", []byte(`{"id":"a","t":[{"n":1}]}`))
+	f.Add("e/a", []byte("d"))
 	f.Add("term", []byte(`{"e":1,"h":"x"}`))
 	f.Fuzz(func(_ *testing.T, key string, value []byte) {
 		table := NewTable()
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -85,12 +85,18 @@
 	if err != nil {
 		return nil, err
 	}
-	for index, state := range statesByLetter {
-		if state == p.State {
-			return append([]byte{stateLetters[index]}, rest...), nil
+	return append([]byte{stateLetter(p.State)}, rest...), nil
+}
+
+// stateLetter is how a state is written. One that does not exist is a broken
+// invariant.
+func stateLetter(state State) byte {
+	for index, known := range statesByLetter {
+		if known == state {
+			return stateLetters[index]
 		}
 	}
-	return nil, eris.Errorf("unknown state %q", p.State)
+	panic("jobs: unknown state " + string(state))
 }
 
 func progressState(value []byte) (State, error) {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -19,6 +19,7 @@
 	submissionPrefix = "s/"
 	cancelPrefix     = "c/"
 	progressPrefix   = "p/"
+	statePrefix      = "e/"
 	termKey          = "term"
 	instancePrefix   = "i/"
 )
@@ -51,19 +52,33 @@
 	return Record{Key: instancePrefix + name, Value: []byte(address)}
 }
 
+// StateRecord returns the record of a job's state alone, which every instance
+// reads; progress is for those that may place.
+func StateRecord(id string, state State) Record {
+	return Record{Key: statePrefix + id, Value: []byte{stateLetter(state)}}
+}
+
+// FenceRecord returns a record that says nothing. A new placing instance writes
+// it so that the store refuses the progress of former ones.
+func FenceRecord() Record { return Record{Key: "fence", Value: []byte{'1'}} }
+
 // CancelRecord returns the record that cancels a job.
 func CancelRecord(id string) Record { return Record{Key: cancelPrefix + id, Value: []byte{'1'}} }
 
 // ForgetCallRecords returns the records that drop what callers wrote of a job.
-// They go to every part in which such records lie, before ForgetProgressRecord.
+// They go to every part in which such records lie, before ForgetProgressRecord
+// and ForgetStateRecord.
 func ForgetCallRecords(id string) []Record {
 	return []Record{{Key: submissionPrefix + id}, {Key: cancelPrefix + id}}
 }
 
-// ForgetProgressRecord returns the record that drops a job's progress. It comes
-// last, so that a second copy of the submission meets the progress until then.
+// ForgetProgressRecord returns the record that drops a job's progress.
 func ForgetProgressRecord(id string) Record { return Record{Key: progressPrefix + id} }
 
+// ForgetStateRecord returns the record that drops a job's state. It comes last,
+// so that a second copy of the submission meets the state until then.
+func ForgetStateRecord(id string) Record { return Record{Key: statePrefix + id} }
+
 func encode(key string, value any) (Record, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"maps"
 	"sort"
 )
@@ -8,27 +9,30 @@
 // Job is the folded state of one job.
 type Job struct {
 	Submission *Submission // nil while only other records of it were read
-	Progress   []byte      // value of the newest progress record; nil before the first task was placed
+	Progress   []byte      // value of the newest progress record; nil before the first task was placed, or where progress is not read
+	Shown      State       // as the newest state record says; empty before the first
 	Cancelled  bool        // a cancellation is on record
 	Told       bool        // a caller of this instance was told of the final state
 	Parts      uint64      // parts of the stream in which records of it were read, a bit each
 	progressAt int64       // offset of Progress plus one
+	shownAt    int64       // offset of Shown plus one
 	state      State       // as Progress says
 }
 
 // State is what callers are told. A final state that the placing instance has
 // written stands, also if a cancellation came too late for it.
 func (j *Job) State() State {
-	if j.state.Final() {
+	switch {
+	case j.state.Final():
 		return j.state
-	}
-	if j.Cancelled {
+	case j.Shown.Final():
+		return j.Shown
+	case j.Cancelled:
 		return StateCancelled
+	case j.state == StateRunning || j.Shown == StateRunning:
+		return StateRunning
 	}
-	if j.state == "" {
-		return StateQueued
-	}
-	return j.state
+	return StateQueued
 }
 
 // Change says what a record changed.
@@ -124,7 +128,7 @@
 }
 
 // Apply folds one record of a part. Offsets count within a part; all progress
-// lies in one. An error says that the record's value is not one of ours; the
+// lies in one, and so do all states. An error says that the record's value is not one of ours; the
 // fold is then as before.
 func (t *Table) Apply(record Record, part int, offset int64) (Change, error) {
 	if record.Key == termKey {
@@ -143,6 +147,9 @@
 	if id, ok := subject(record.Key, progressPrefix); ok {
 		return t.applyProgress(id, record, offset)
 	}
+	if id, ok := subject(record.Key, statePrefix); ok {
+		return t.applyState(id, record, offset)
+	}
 	return Change{}, nil
 }
 
@@ -172,7 +179,7 @@
 
 func (t *Table) applySubmission(id string, record Record, part int) (Change, error) {
 	if len(record.Value) == 0 {
-		if job := t.jobs[id]; job != nil && job.Progress == nil {
+		if job := t.jobs[id]; job != nil && job.Progress == nil && job.Shown == "" {
 			delete(t.jobs, id)
 		}
 		return Change{Job: id}, nil
@@ -206,8 +213,7 @@
 		return Change{}, nil // a page was newer than this tail
 	}
 	if len(record.Value) == 0 {
-		delete(t.jobs, id)
-		return Change{Job: id}, nil
+		return Change{}, nil // its state follows
 	}
 	state, err := progressState(record.Value)
 	if err != nil {
@@ -219,3 +225,28 @@
 	job.progressAt = offset + 1
 	return Change{Job: id}, nil
 }
+
+func (t *Table) applyState(id string, record Record, offset int64) (Change, error) {
+	if known := t.jobs[id]; known != nil && offset < known.shownAt {
+		return Change{}, nil // a page was newer than this tail
+	}
+	if len(record.Value) == 0 {
+		delete(t.jobs, id)
+		return Change{Job: id}, nil
+	}
+	state, err := progressState(record.Value)
+	if err != nil {
+		return Change{}, err
+	}
+	job := t.job(id)
+	job.Shown = state
+	job.shownAt = offset + 1
+	return Change{Job: id}, nil
+}
+
+// HasProgress reports whether a progress record is the newest of its job.
+func (t *Table) HasProgress(record Record) bool {
+	id, ok := subject(record.Key, progressPrefix)
+	job := t.jobs[id]
+	return ok && job != nil && bytes.Equal(job.Progress, record.Value)
+}
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -99,7 +99,8 @@
 
 // Plan is what is to be done next.
 type Plan struct {
-	Records []jobs.Record    // to be appended as one group; then call Recorded
+	Records []jobs.Record    // progress, to be appended as one group
+	States  []jobs.Record    // states, to be appended after Records; then call Recorded
 	Starts  []Start          // to be sent
 	Stops   []Stop           // to be sent
 	Acks    map[string]int64 // by worker: ends that may be forgotten
@@ -148,9 +149,7 @@
 	id := known.Submission.ID
 	if e.jobs[id] == nil {
 		job := e.addJob(known.Submission, now)
-		if known.Progress != nil {
-			e.restoreRecord(job, known.Progress)
-		}
+		e.restoreKnown(job, known)
 	}
 	if known.Cancelled {
 		e.Cancel(id, now)
@@ -275,6 +274,10 @@
 		count++
 		job.dirty = false
 		e.plan.Records = append(e.plan.Records, record)
+		if job.state != job.shown {
+			e.plan.States = append(e.plan.States, jobs.StateRecord(job.submission.ID, job.state))
+			job.shown = job.state
+		}
 	}
 	e.changed = append([]*job(nil), e.changed[count:]...)
 }
--- a/placing/job.go
+++ b/placing/job.go
@@ -13,6 +13,7 @@
 	acceptedAt time.Time // on the steady clock; earlier than the engine, perhaps
 	firstMS    int64     // time of day at acceptedAt
 	state      jobs.State
+	shown      jobs.State // as the newest state record says
 	reason     string
 	endedAt    time.Time
 	endedMS    int64
@@ -90,7 +91,7 @@
 	if submission.AcceptedMS > 0 && submission.AcceptedMS < nowMS {
 		age = time.Duration(nowMS-submission.AcceptedMS) * time.Millisecond
 	}
-	job := &job{submission: submission, queue: queue, state: jobs.StateQueued, acceptedAt: now.Add(-age)}
+	job := &job{submission: submission, queue: queue, state: jobs.StateQueued, shown: jobs.StateQueued, acceptedAt: now.Add(-age)}
 	job.firstMS = nowMS - age.Milliseconds()
 	for index := range submission.Runs() {
 		job.runs = append(job.runs, newOccurrence(job, index))
@@ -171,6 +172,24 @@
 	}
 }
 
+// restoreKnown takes what the log says of a job. Its state is written again if
+// a former holder of the term wrote its progress and no more.
+func (e *Engine) restoreKnown(job *job, known *jobs.Job) {
+	if known.Shown != "" {
+		job.shown = known.Shown
+	}
+	if known.Progress != nil {
+		e.restoreRecord(job, known.Progress)
+	} else if known.Shown.Final() {
+		job.state = known.Shown // its progress was dropped already
+		job.endedAt = job.acceptedAt
+		job.endedMS = job.firstMS
+	}
+	if job.state != job.shown {
+		e.touch(job)
+	}
+}
+
 // restoreRecord takes what the log says of a job.
 func (e *Engine) restoreRecord(job *job, value []byte) {
 	progress, err := jobs.DecodeProgress(value)
