Progress and states of a group are written at the same time

Change: both appends at once; a group counts when both are durable. A final state without its progress is final for the next holder, which writes the progress. Those that would place next read progress once a second, the holder its own parts every 150 ms. Test: TestStateAndProgressAreMadeToAgree.

--- a/batch/instance.go
+++ b/batch/instance.go
@@ -35,7 +35,10 @@
 	// and ownPause of what it wrote itself, which it reads only to see whether an
 	// append without an answer took effect.
 	holderPause = 15 * time.Millisecond
-	ownPause    = 100 * time.Millisecond
+	ownPause    = 150 * time.Millisecond
+	// detailStandby is the same of the progress on those that would place next, so
+	// that they have little left to read when they do.
+	detailStandby = time.Second
 	// configPause follows a new configuration.
 	configPause = 20 * time.Millisecond
 )
@@ -138,12 +141,19 @@
 // is one of those that would claim a vacant term first.
 func (i *Instance) newDetailFollower(part int) *follower {
 	made := i.newWorkFollower(part)
-	made.gap = func() time.Duration { return i.workPause(statePart) }
+	made.gap = i.detailPause
 	made.wait = func() time.Duration { return progressWait }
 	made.wanted = func() bool { return i.leading.Load() || i.watchful() }
 	return made
 }
 
+func (i *Instance) detailPause() time.Duration {
+	if i.leading.Load() {
+		return ownPause
+	}
+	return detailStandby
+}
+
 // workWait is how long a read of a part may wait for records. The holder of the
 // term waits shortly everywhere, as a connection that has gone silent would hide
 // new jobs from it.
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +13,7 @@
 // group is what the holder of the term writes down as one.
 type group struct {
 	details []jobs.Record // progress
-	states  []jobs.Record // written once the details are durable
+	states  []jobs.Record
 }
 
 // fencedWriter appends the holder's records one group at a time, and renews the
@@ -96,26 +97,28 @@
 	}
 }
 
-// write appends a group: progress first, then the states with a renewal of the
-// term. A group without states renews the term only when that is due.
+// write appends a group: progress and, at the same time, the states with a
+// renewal of the term. The group is durable once both are; a final state without
+// its progress is final for the next holder too, so neither has to come first. A
+// group without states renews the term only when that is due.
 func (w *fencedWriter) write(ctx context.Context, next group) error {
 	begin := w.leader.clock.Now()
 	defer func() {
 		w.leader.instance.metrics.appendTime.Update(w.leader.clock.Now().Sub(begin).Microseconds())
 	}()
 	if w.details == nil {
-		return w.writeStates(ctx, append(next.details, next.states...))
+		return w.writeStates(ctx, slices.Concat(next.details, next.states))
 	}
-	if len(next.details) > 0 {
-		if err := w.details.append(ctx, next.details); err != nil {
-			return err
-		}
+	if len(next.details) == 0 {
+		return w.writeStates(ctx, next.states)
 	}
 	due := w.leader.clock.Now().Sub(w.confirmed()) >= renewEvery
-	if len(next.details) > 0 && len(next.states) == 0 && !due {
-		return nil
+	if len(next.states) == 0 && !due {
+		return w.details.append(ctx, next.details)
 	}
-	return w.writeStates(ctx, next.states)
+	detailed := make(chan error, 1)
+	go func() { detailed <- w.details.append(ctx, next.details) }()
+	return errors.Join(w.writeStates(ctx, next.states), <-detailed)
 }
 
 func (w *fencedWriter) writeStates(ctx context.Context, states []jobs.Record) error {
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -149,7 +149,7 @@
 	id := known.Submission.ID
 	if e.jobs[id] == nil {
 		job := e.addJob(known.Submission, now)
-		e.restoreKnown(job, known)
+		e.restoreKnown(job, known, now)
 	}
 	if known.Cancelled {
 		e.Cancel(id, now)
--- a/placing/engine_test.go
+++ b/placing/engine_test.go
@@ -138,3 +138,33 @@
 	}
 	is.Equal(len(started), 3)
 }
+
+// A former holder may have shown a job as done and lost the term before its
+// progress was written: the job is done, what is listed of it is stopped, and
+// its progress is written. The other way round its state is written.
+func TestStateAndProgressAreMadeToAgree(t *testing.T) {
+	is := is.New(t)
+	submission := testJob(hexID(1), 1, testStep(1, 1))
+	running, err := jobs.ProgressRecord(submission.ID, &jobs.Progress{State: jobs.StateRunning,
+		Tasks: []jobs.TaskProgress{{Run: 1, Worker: "w"}}})
+	is.NoErr(err)
+	done, err := jobs.ProgressRecord(submission.ID, &jobs.Progress{State: jobs.StateDone})
+	is.NoErr(err)
+	for _, known := range []*jobs.Job{
+		{Submission: submission, Progress: running.Value, Shown: jobs.StateDone},
+		{Submission: submission, Progress: done.Value, Shown: jobs.StateRunning},
+		{Submission: submission, Shown: jobs.StateDone},
+	} {
+		e := testEngine(2)
+		e.Load([]*jobs.Job{known}, true, testStart)
+		e.Complete()
+		e.List([]WorkerEntry{testWorker("w", "r1-0")}, testStart)
+		listed := RunningTask{Task: jobs.TaskKey{Job: submission.ID}, Run: 1}
+		e.Report("w", testStart, []RunningTask{listed}, nil, time.Time{}, testStart)
+		plan := e.Decide(testStart.Add(2 * time.Second))
+		is.Equal(len(plan.Starts), 0)
+		is.True(len(plan.Stops) > 0)
+		is.Equal(string(plan.Records[0].Value[:1]), "d")
+		is.Equal(len(plan.States) == 1, known.Shown != jobs.StateDone)
+	}
+}
--- a/placing/job.go
+++ b/placing/job.go
@@ -172,18 +172,19 @@
 	}
 }
 
-// restoreKnown takes what the log says of a job. Its state is written again if
-// a former holder of the term wrote its progress and no more.
-func (e *Engine) restoreKnown(job *job, known *jobs.Job) {
+// restoreKnown takes what the log says of a job. A former holder of the term may
+// have written its progress and not its state, or its final state alone: then
+// the other is written too.
+func (e *Engine) restoreKnown(job *job, known *jobs.Job, now time.Time) {
 	if known.Shown != "" {
 		job.shown = known.Shown
 	}
 	if known.Progress != nil {
 		e.restoreRecord(job, known.Progress)
-	} else if known.Shown.Final() {
-		job.state = known.Shown // its progress was dropped already
-		job.endedAt = job.acceptedAt
-		job.endedMS = job.firstMS
+	}
+	if known.Shown.Final() && !job.state.Final() {
+		// The former holder did not come to write its progress, or it was dropped.
+		e.finish(job, known.Shown, "", now)
 	}
 	if job.state != job.shown {
 		e.touch(job)
