Lines of several instances are ordered by the log, not by their clocks

Change: every line carries the position that its instance had read of the part with the term and the states; explain sorts by it, and by time only where it is the same. Who tells of a record has read it, who wrote it had not. Ruled out: a hybrid clock carried by records, which would be one more field in each of them. Test: TestExplainOrdersByTheLogWhereClocksDiffer (times alone give the wrong order).

--- a/batch/follow.go
+++ b/batch/follow.go
@@ -53,6 +53,7 @@
 
 	lock     *sync.Mutex // held while records are applied; may be shared
 	next     int64
+	at       atomic.Int64 // next, for those who must not wait for the lock
 	loaded   bool
 	contact  time.Time // when the last answered read was sent
 	heard    time.Time // when it was answered
@@ -115,6 +116,7 @@
 	}
 	f.apply(batch)
 	f.next = max(f.next, batch.Next)
+	f.at.Store(f.next)
 	f.loaded = true
 	f.touch(sent)
 	return nil
@@ -162,6 +164,7 @@
 	}
 	f.apply(batch)
 	f.next = batch.Next
+	f.at.Store(f.next)
 }
 
 // refresh reads what was written before the call, so that a later look at the
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -232,6 +232,11 @@
 	return i.Config() != nil && i.loaded() && i.work.inContact() && !i.draining.Load()
 }
 
+// LogPosition is how far this instance has read the part of the log with the
+// term and the states. Whatever it does knows of all before it, so positions
+// order what several instances do where clocks differ.
+func (i *Instance) LogPosition() int64 { return i.work.at.Load() }
+
 // Draining reports whether the instance is about to end.
 func (i *Instance) Draining() bool { return i.draining.Load() }
 
--- a/command/explain.go
+++ b/command/explain.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,6 +28,7 @@
 // logLine is one line of one process.
 type logLine struct {
 	at     time.Time
+	log    int64 // position that its instance had read of the platform's log
 	source string
 	text   string
 	about  bool // names the id
@@ -91,14 +93,16 @@
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(nil, maxLine)
 	var lines []logLine
+	position := int64(0)
 	for scanner.Scan() {
 		text := scanner.Text()
+		position = positionOf(text, position)
 		about := strings.Contains(text, id)
 		if !about && !isContext(text) {
 			continue
 		}
 		if at, ok := timeOf(text); ok {
-			lines = append(lines, logLine{at: at, source: source, text: text, about: about})
+			lines = append(lines, logLine{at: at, log: position, source: source, text: text, about: about})
 		}
 	}
 	return lines, eris.Wrap(scanner.Err(), "log "+source)
@@ -123,10 +127,35 @@
 	return at, err == nil
 }
 
-// printStory prints the lines in the order of their times and returns how many
-// name the id. Context is shown from the first such line to the last.
+// positionOf reads a line's position; a line without one has that of the line
+// before.
+func positionOf(text string, before int64) int64 {
+	_, rest, found := strings.Cut(text, " "+positionField+"=")
+	if !found {
+		return before
+	}
+	digits, _, _ := strings.Cut(rest, " ")
+	position, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil {
+		return before
+	}
+	return position
+}
+
+// earlier orders lines by what their instances had read of the platform's log:
+// who tells of a record has read it, and who wrote it had not. Their clocks
+// decide only where that is the same.
+func earlier(a, b logLine) bool {
+	if a.log != b.log {
+		return a.log < b.log
+	}
+	return a.at.Before(b.at)
+}
+
+// printStory prints the lines in causal order and returns how many name the id.
+// Context is shown from the first such line to the last.
 func printStory(out io.Writer, lines []logLine, around bool) int {
-	sort.SliceStable(lines, func(a, b int) bool { return lines[a].at.Before(lines[b].at) })
+	sort.SliceStable(lines, func(a, b int) bool { return earlier(lines[a], lines[b]) })
 	first, last, found := -1, -1, 0
 	for index := range lines {
 		if lines[index].about {
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -37,6 +37,26 @@
 	is.Equal(Main([]string{"explain", "ffffffffffffffff", dir}, &out, &errs), ExitFailed)
 }
 
+// The clock of the second process is five seconds slow. What it says of an end
+// that it read in the log comes after the line of the process that wrote it.
+func TestExplainOrdersByTheLogWhereClocksDiffer(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	one := `time="2026-12-02T10:00:05.100Z" level=info msg=submit job=00000000000000a1 log_at=7
+time="2026-12-02T10:00:08.000Z" level=info msg=job_ended job=00000000000000a1 log_at=9 verdict=x
+`
+	two := `time="2026-12-02T10:00:00.200Z" level=info msg=submit job=00000000000000a1 log_at=8
+time="2026-12-02T10:00:03.100Z" level=info msg=state_told job=00000000000000a1 log_at=10
+`
+	is.NoErr(os.WriteFile(filepath.Join(dir, "one.log"), []byte(one), 0o600))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "two.log"), []byte(two), 0o600))
+	var out, errs bytes.Buffer
+	is.Equal(Main([]string{"explain", "00000000000000a1", dir}, &out, &errs), ExitDone)
+	text := out.String()
+	is.True(strings.Index(text, "job_ended") < strings.Index(text, "state_told"))
+	is.True(strings.HasPrefix(text, "one.log"))
+}
+
 func TestCheckNamesEveryFaultOfThePlatformsFile(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "boot.json")
--- a/command/front.go
+++ b/command/front.go
@@ -98,6 +98,7 @@
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(loaded.StoreAddress)
 	instance := batch.New(loaded.Settings, store, platform.Decoder{}, platform.NewWorkers(loaded.AdviceAddress), registry, log)
+	log.Logger.AddHook(positionHook{instance})
 	return &frontProcess{
 		settings: loaded,
 		log:      log,
@@ -107,6 +108,24 @@
 	}
 }
 
+// positionField is the field of a log line with the position that its instance
+// had read of the platform's log.
+const positionField = "log_at"
+
+// positionHook adds it to every line.
+type positionHook struct {
+	instance *batch.Instance
+}
+
+// Levels implements logrus.Hook.
+func (positionHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h positionHook) Fire(entry *logrus.Entry) error {
+	entry.Data[positionField] = h.instance.LogPosition()
+	return nil
+}
+
 func (p *frontProcess) start() error {
 	for _, server := range []*http.Server{p.front, p.ready} {
 		listener, err := listen(server.Addr)
