A group of progress is known by its mark when it is read back

A group whose answer was awaited for 40 ms counted as durable if the progress of its last job stood in the log; a job's progress may be written twice with the same content, so it could have stood there from before, while the group with the end was lost with the term. Ruled out: the fence and the reading of all progress (the holder was the same). Change: each group begins with a mark of its own, the epoch and a number, and that is what is looked for; the fence of a new holder is such a mark. Test: TestProgressOfBeforeIsNotTakenForTheGroup.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -342,7 +342,7 @@
 	progress, err := jobs.ProgressRecord("a1", &jobs.Progress{State: jobs.StateDone})
 	is.NoErr(err)
 	is.NoErr(writer.write(t.Context(), group{details: []jobs.Record{progress}, states: []jobs.Record{jobs.StateRecord("a1", jobs.StateDone)}}))
-	is.Equal(store.keys(7), []string{"p/a1"})
+	is.Equal(store.keys(7), []string{"mark", "p/a1"})
 	is.Equal(store.keys(statePart), []string{"term", "e/a1"})
 	store.epochs[7] = 9 // a later holder has fenced the progress
 	err = writer.write(t.Context(), group{details: []jobs.Record{progress}, states: []jobs.Record{jobs.StateRecord("a1", jobs.StateDone)}})
@@ -360,5 +360,24 @@
 	is.NoErr(former.write(t.Context(), group{details: []jobs.Record{progress}}))
 	is.NoErr(next.fence(t.Context()))
 	is.Equal(former.write(t.Context(), group{details: []jobs.Record{progress}}), ErrFenced)
-	is.Equal(store.keys(7), []string{"p/a1", "fence"})
+	is.Equal(store.keys(7), []string{"mark", "p/a1", "mark"})
+}
+
+// A job's progress may be written twice with the same content. That it stands in
+// the log from before does not make a group durable whose answer is awaited: its
+// ends would be acknowledged and lost.
+func TestProgressOfBeforeIsNotTakenForTheGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &lossyStore{}
+		writer := writerOf(store, 3)
+		progress, err := jobs.ProgressRecord("a1", &jobs.Progress{State: jobs.StateRunning})
+		is.NoErr(err)
+		first := []jobs.Record{jobs.MarkRecord(3, 1), progress}
+		second := []jobs.Record{jobs.MarkRecord(3, 2), progress}
+		instance := writer.leader.instance
+		instance.fold.apply(7, Batch{Records: first, Offsets: []int64{0, 1}})
+		is.NoErr(writer.details.try(t.Context(), first))
+		is.Equal(writer.details.try(t.Context(), second), ErrUnknown)
+	})
 }
--- a/batch/fenced.go
+++ b/batch/fenced.go
@@ -25,7 +25,8 @@
 	clock    *Clock
 	part     int
 	epoch    int64
-	sequence int64 // of the last group
+	sequence int64 // of the last append, for the store
+	group    int64 // counts the groups of the term
 	patience patience
 	seen     func(records []jobs.Record) bool // the fold shows that they are in the log
 }
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -52,7 +52,15 @@
 	if w.details == nil {
 		return nil
 	}
-	return w.details.append(ctx, []jobs.Record{jobs.FenceRecord()})
+	return w.writeDetails(ctx, nil)
+}
+
+// writeDetails appends progress with the mark of its group, by which it is known
+// when it is read back.
+func (w *fencedWriter) writeDetails(ctx context.Context, details []jobs.Record) error {
+	w.details.group++
+	mark := jobs.MarkRecord(w.details.epoch, w.details.group)
+	return w.details.append(ctx, append([]jobs.Record{mark}, details...))
 }
 
 // offer takes the records of a plan; the engine gives the next ones only after
@@ -114,10 +122,10 @@
 	}
 	due := w.leader.clock.Now().Sub(w.confirmed()) >= renewEvery
 	if len(next.states) == 0 && !due {
-		return w.details.append(ctx, next.details)
+		return w.writeDetails(ctx, next.details)
 	}
 	detailed := make(chan error, 1)
-	go func() { detailed <- w.details.append(ctx, next.details) }()
+	go func() { detailed <- w.writeDetails(ctx, next.details) }()
 	return errors.Join(w.writeStates(ctx, next.states), <-detailed)
 }
 
@@ -153,11 +161,12 @@
 	return read == w.term
 }
 
-// progressSeen reports whether a group of progress was read back.
+// progressSeen reports whether a group of progress was read back, of which the
+// first record is the mark.
 func (i *Instance) progressSeen(records []jobs.Record) bool {
 	i.foldLock.Lock()
 	defer i.foldLock.Unlock()
-	return i.fold.table.HasProgress(records[len(records)-1])
+	return i.fold.table.Mark() == string(records[0].Value)
 }
 
 // handOver gives the term up. An append on its way is waited for, as its
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +22,7 @@
 	progressPrefix   = "p/"
 	statePrefix      = "e/"
 	termKey          = "term"
+	markKey          = "mark"
 	instancePrefix   = "i/"
 )
 
@@ -58,9 +60,12 @@
 	return Record{Key: statePrefix + id, Value: []byte{stateLetter(state)}}
 }
 
-// FenceRecord returns a record that says nothing. A new placing instance writes
-// it so that the store refuses the progress of former ones.
-func FenceRecord() Record { return Record{Key: "fence", Value: []byte{'1'}} }
+// MarkRecord returns the record that names a group of progress, by the epoch of
+// the term and the group's number in it. Alone, it is what a new placing
+// instance writes so that the store refuses the progress of former ones.
+func MarkRecord(epoch, number int64) Record {
+	return Record{Key: markKey, Value: fmt.Appendf(nil, "%d.%d", epoch, number)}
+}
 
 // CancelRecord returns the record that cancels a job.
 func CancelRecord(id string) Record { return Record{Key: cancelPrefix + id, Value: []byte{'1'}} }
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"bytes"
 	"maps"
 	"sort"
 )
@@ -45,6 +44,7 @@
 type Table struct {
 	jobs      map[string]*Job
 	term      Term
+	mark      string
 	instances map[string]string
 }
 
@@ -134,6 +134,10 @@
 	if record.Key == termKey {
 		return t.applyTerm(record)
 	}
+	if record.Key == markKey {
+		t.mark = string(record.Value)
+		return Change{}, nil
+	}
 	if name, ok := subject(record.Key, instancePrefix); ok {
 		t.instances[name] = string(record.Value)
 		return Change{}, nil
@@ -244,9 +248,5 @@
 	return Change{Job: id}, nil
 }
 
-// HasProgress reports whether a progress record is the newest of its job.
-func (t *Table) HasProgress(record Record) bool {
-	id, ok := subject(record.Key, progressPrefix)
-	job := t.jobs[id]
-	return ok && job != nil && bytes.Equal(job.Progress, record.Value)
-}
+// Mark is the value of the newest mark of a group of progress.
+func (t *Table) Mark() string { return t.mark }
