Orders are bounded in number, and patient where this instance is slow

Starts took longer than the 0.3 s that they are given, came again twice, counted as unanswered and were stopped; 1,800 accelerators stood in stops that did not get through, 59 thousand connections were opened, and 3,896 of 3,900 descriptors were in use. Ruled out: the processor alone (0.12 of 0.19 in use), the change of term. Test: TestOrdersArePatientWhereAnswersAreSlow.

--- a/batch/leader.go
+++ b/batch/leader.go
@@ -47,6 +47,8 @@
 	events   *ring.Ring[event]
 	links    map[string]*link
 	writer   *fencedWriter
+	orders   chan struct{} // one for each order under way
+	patience patience      // with orders
 	deposed  bool
 	entries  map[string]placing.WorkerEntry // guarded by the list follower's lock
 	listed   *follower
@@ -65,6 +67,8 @@
 		engine:   placing.New(i.limits(), term.Epoch, i.clock.WallMS),
 		epoch:    term.Epoch,
 		events:   ring.New[event](eventRing),
+		orders:   make(chan struct{}, orderSlots),
+		patience: patience{least: orderTimeout},
 		links:    map[string]*link{},
 		entries:  map[string]placing.WorkerEntry{},
 		ctx:      ctx,
--- a/batch/order.go
+++ b/batch/order.go
@@ -12,8 +12,13 @@
 
 const (
 	// orderTimeout is how long a start or a stop may go unanswered before it is
-	// sent again; a worker answers within some milliseconds.
+	// sent again; a worker answers within some milliseconds. Where answers take
+	// longer, as this instance is slow, it is four times as long as they take.
 	orderTimeout = 300 * time.Millisecond
+	// orderSlots is how many orders are under way at once. Answered in 5 ms they
+	// are 12,800 a second; more at once would only wait in a slow instance, until
+	// they count as unanswered and come again.
+	orderSlots = 64
 	// orderTries is how often one is sent. A copy that arrives late is harmless:
 	// the worker answers it like the first, or refuses it once the run is over. Nine
 	// tenths of a second in all leave a gang time to become whole, for which its
@@ -67,9 +72,20 @@
 }
 
 func (k *link) try(ctx context.Context, order func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	select {
+	case k.leader.orders <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-k.leader.orders }()
+	ctx, cancel := context.WithTimeout(ctx, k.leader.patience.usualLimit())
 	defer cancel()
-	return order(ctx)
+	sent := k.leader.clock.Now()
+	err := order(ctx)
+	if err == nil {
+		k.leader.patience.answered(k.leader.clock.Now().Sub(sent))
+	}
+	return err
 }
 
 // startResult is what is known of a start. A refusal says nothing of a try that
--- a/batch/order_test.go
+++ b/batch/order_test.go
@@ -65,7 +65,8 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	instance := &Instance{workers: workers, metrics: newInstruments(metrics.NewRegistry())}
-	l := &leader{instance: instance, log: logrus.NewEntry(logger), clock: NewClock(), events: ring.New[event](16)}
+	l := &leader{instance: instance, log: logrus.NewEntry(logger), clock: NewClock(), events: ring.New[event](16),
+		orders: make(chan struct{}, orderSlots), patience: patience{least: orderTimeout}}
 	return &link{leader: l, entry: placing.WorkerEntry{ID: "w"}}, workers
 }
 
@@ -130,3 +131,17 @@
 	h.failedAt = h.clock.Now().Add(-aloneFor)
 	is.True(!h.alone()) // they are asked again
 }
+
+// Where this instance is so slow that answers take a second, orders are given
+// longer, as repeats would make it slower still.
+func TestOrdersArePatientWhereAnswersAreSlow(t *testing.T) {
+	is := is.New(t)
+	p := patience{least: orderTimeout}
+	is.Equal(p.usualLimit(), orderTimeout)
+	for range 20 {
+		p.answered(400 * time.Millisecond)
+	}
+	is.True(p.usualLimit() > time.Second)
+	p.lost()
+	is.True(p.usualLimit() <= patienceMost)
+}
--- a/batch/patience.go
+++ b/batch/patience.go
@@ -22,6 +22,7 @@
 // patience is how long to wait for the store, learned from its answers. A lost
 // answer doubles it, as the store may have become slow.
 type patience struct {
+	least   time.Duration // of a call; 0 for patienceLeast
 	lock    sync.Mutex
 	usual   time.Duration
 	doubled int // answers lost in a row
@@ -31,7 +32,11 @@
 func (p *patience) limit() time.Duration {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	limit := max(patienceLeast, patienceFactor*p.usual)
+	least := p.least
+	if least == 0 {
+		least = patienceLeast
+	}
+	limit := max(least, patienceFactor*p.usual)
 	for range p.doubled {
 		limit = min(patienceMost, 2*limit)
 	}
@@ -46,6 +51,14 @@
 	p.doubled = 0
 }
 
+// usualLimit is the same without regard to lost answers, for calls to many, of
+// which some answer nothing.
+func (p *patience) usualLimit() time.Duration {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return min(patienceMost, max(p.least, patienceFactor*p.usual))
+}
+
 // lost says that no answer came in time.
 func (p *patience) lost() {
 	p.lock.Lock()
