--- a/placing/rank.go
+++ b/placing/rank.go
@@ -25,6 +25,10 @@
 	// urgent at least: a short one is past three times its objective sooner, and
 	// has to begin within the reclaim time all the same.
 	reclaimHold = 1
+	// priorityWeight is what a step of priority counts, in the order of work that is
+	// not urgent: the users' first kind is worth 1.9 times the second for each
+	// core-second, of which its larger jobs make up a part.
+	priorityWeight = 3
 	// acceleratorCores is what an accelerator counts in cores, as the users
 	// price it.
 	acceleratorCores = 8
@@ -179,7 +183,7 @@
 }
 
 // density is the value of finishing an occurrence for each core-second that is
-// left of it. The weight halves with each step of priority.
+// left of it.
 func (e *Engine) density(job *job, occurrence *occurrence) float64 {
 	whole := e.work(job, occurrence, false)
 	left := max(1, e.work(job, occurrence, true))
@@ -187,7 +191,7 @@
 	value := min(mostWorth, baseWorth+workWorth*whole/mean)
 	weight := 1.0
 	for range job.queue.Priority {
-		weight /= 2
+		weight /= priorityWeight
 	}
 	return weight * value / left
 }
