A new holder's reads go on at its own pace

Ruled out: the take-over (won in 0.05 s, all workers had reported 0.1 s later), room (136 of 328 accelerators busy). Change: winning the term ends pauses and long reads of callers' parts; the holder waits 0.4 s at most there instead of 0.6. Test: TestRousedFollowerReadsAtOnce.

--- a/batch/config_test.go
+++ b/batch/config_test.go
@@ -1,9 +1,14 @@
 package batch
 
 import (
+	"context"
 	"strconv"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
@@ -43,3 +48,42 @@
 		}
 	})
 }
+
+// pausingStore brings one record with each read, and waits for ever once told.
+type pausingStore struct {
+	Store
+	reads   atomic.Int64
+	waiting chan struct{}
+}
+
+func (s *pausingStore) Read(ctx context.Context, _ Stream, _ int, from int64, _ time.Duration) (Batch, error) {
+	if s.reads.Add(1) == 2 {
+		close(s.waiting)
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	return Batch{Records: []jobs.Record{{Key: "x"}}, Offsets: []int64{from}, Next: from + 1}, nil
+}
+
+// A standby reads slowly. When it becomes the holder, neither the pause nor the
+// long read that it is in delays what callers hand in.
+func TestRousedFollowerReadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &pausingStore{waiting: make(chan struct{})}
+		instance := New(Settings{Name: "a", StoreParts: 8}, store, nil, nil, metrics.NewRegistry(), quietLog())
+		f := instance.calls[0]
+		f.loaded = true
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.run(ctx)
+		synctest.Wait()
+		is.Equal(store.reads.Load(), int64(1)) // in the pause after a record
+		f.rouse()
+		<-store.waiting // in the long read
+		f.rouse()
+		synctest.Wait()
+		is.True(store.reads.Load() >= 3)
+		is.Equal(f.failures, 0)
+	})
+}
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
@@ -26,6 +27,11 @@
 	// progressWait is how long a read waits for a record where the holder of the
 	// term writes. A silent holder is noticed at the end of such a wait.
 	progressWait = 600 * time.Millisecond
+	// holderWait is the same for the holder where callers write. The store may not
+	// notice a record for a read that arrives while it is being appended (seen in
+	// two of a hundred hand-ins); the job is then taken at the end of the wait, and
+	// urgent ones have a second to spare.
+	holderWait = 400 * time.Millisecond
 	// callsWait is the same where callers write, on instances that do not place:
 	// what is asked for is read at once, so a silent connection delays nothing.
 	callsWait = 4 * time.Second
@@ -37,6 +43,9 @@
 	quietWait = time.Second
 )
 
+// errRoused ends a read of a standby when it becomes the holder of the term.
+var errRoused = eris.New("the instance places now")
+
 // follower keeps up with one stream: the newest record of each key, then the
 // tail. It is used by one goroutine, but for its accessors.
 type follower struct {
@@ -50,6 +59,9 @@
 	gap    func() time.Duration // pause after a read that brought records
 	wait   func() time.Duration // how long a read may wait for one
 	wanted func() bool          // whether to follow now; nil for always
+	roused chan struct{}        // see rouse
+
+	reading context.CancelCauseFunc // ends the read on its way; guarded by lock
 
 	lock     *sync.Mutex // held while records are applied; may be shared
 	next     int64
@@ -86,7 +98,10 @@
 		return f.load(ctx)
 	}
 	sent := f.clock.Now()
-	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), f.wait())
+	batch, err := f.read(ctx)
+	if errors.Is(err, errRoused) {
+		return nil
+	}
 	if errors.Is(err, ErrForgotten) {
 		f.log.WithField("stream", string(f.stream)).Info("history_forgotten")
 		return f.load(ctx)
@@ -96,11 +111,50 @@
 	}
 	f.take(batch, sent)
 	if len(batch.Records) > 0 {
-		logstream.Sleep(ctx, f.gap())
+		f.rest(ctx, f.gap())
 	}
 	return nil
 }
 
+// read waits for the next records, unless it is roused.
+func (f *follower) read(ctx context.Context) (Batch, error) {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	f.lock.Lock()
+	f.reading = end
+	f.lock.Unlock()
+	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), f.wait())
+	if err != nil && errors.Is(context.Cause(ctx), errRoused) {
+		return batch, errRoused
+	}
+	return batch, err
+}
+
+// rest waits, unless it is roused.
+func (f *follower) rest(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.roused:
+	}
+}
+
+// rouse ends a pause or a long wait, as its length was that of a standby and
+// this instance now places.
+func (f *follower) rouse() {
+	select {
+	case f.roused <- struct{}{}:
+	default:
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.reading != nil {
+		f.reading(errRoused)
+	}
+}
+
 // load reads the newest record of each key. Reading goes on at the offset that
 // was noted before the first page.
 func (f *follower) load(ctx context.Context) error {
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -125,7 +125,7 @@
 }
 
 func (i *Instance) newFollower(stream Stream, part int, lock *sync.Mutex, wait time.Duration) *follower {
-	return &follower{store: i.store, stream: stream, part: part, log: i.log, clock: i.clock, lock: lock, wait: func() time.Duration { return wait }}
+	return &follower{roused: make(chan struct{}, 1), store: i.store, stream: stream, part: part, log: i.log, clock: i.clock, lock: lock, wait: func() time.Duration { return wait }}
 }
 
 // newWorkFollower follows one part of the work stream; all share one fold.
@@ -158,17 +158,20 @@
 // term waits shortly everywhere, as a connection that has gone silent would hide
 // new jobs from it.
 func (i *Instance) workWait(part int) time.Duration {
-	if part == statePart || i.fold.watching.Load() {
+	if part == statePart {
 		return progressWait
 	}
+	if i.leading.Load() {
+		return holderWait
+	}
 	return callsWait
 }
 
 func (i *Instance) workPause(part int) time.Duration {
-	if i.fold.watching.Load() && part == statePart {
+	if i.leading.Load() && part == statePart {
 		return ownPause
 	}
-	if i.fold.watching.Load() {
+	if i.leading.Load() {
 		return holderPause
 	}
 	if part != statePart {
@@ -319,6 +322,14 @@
 	return i.calls[part-1]
 }
 
+// rouse has the followers of what the holder needs go on at its pace.
+func (i *Instance) rouse() {
+	i.work.rouse()
+	for _, calls := range i.calls {
+		calls.rouse()
+	}
+}
+
 // inLog reports whether callers' records are in a part of the log, as read now.
 func (i *Instance) inLog(ctx context.Context, part int, records []jobs.Record) (bool, error) {
 	if err := i.follower(part).refresh(ctx); err != nil {
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -76,6 +76,7 @@
 	l.writer = newFencedWriter(l, term, sequence)
 	l.log.WithField("handed_over", handedOver).Info("term_won")
 	i.leading.Store(true)
+	i.rouse()
 	defer i.leading.Store(false)
 	if err := l.prepare(ctx); err != nil {
 		l.log.WithField("error", err.Error()).Warn("term_given_up")
