--- a/batch/config_test.go
+++ b/batch/config_test.go
@@ -79,8 +79,10 @@
 		go f.run(ctx)
 		synctest.Wait()
 		is.Equal(store.reads.Load(), int64(1)) // in the pause after a record
+		begin := time.Now()
 		f.rouse()
 		<-store.waiting // in the long read
+		is.Equal(time.Since(begin), time.Duration(0))
 		f.rouse()
 		synctest.Wait()
 		is.True(store.reads.Load() >= 3)
