--- a/batch/commit.go
+++ b/batch/commit.go
@@ -211,6 +211,7 @@
 	return err
 }
 
+// await waits for an append's answer, and looks at the log meanwhile.
 func (c *committer) await(ctx context.Context, answer <-chan error, records []jobs.Record, limit time.Duration) error {
 	look := time.NewTimer(limit / 2)
 	defer look.Stop()
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -61,15 +61,14 @@
 	wanted func() bool          // whether to follow now; nil for always
 	roused chan struct{}        // see rouse
 
-	reading context.CancelCauseFunc // ends the read on its way; guarded by lock
-
 	lock     *sync.Mutex // held while records are applied; may be shared
 	next     int64
 	at       atomic.Int64 // next, for those who must not wait for the lock
 	loaded   bool
-	contact  time.Time // when the last answered read was sent
-	heard    time.Time // when it was answered
-	failures int       // reads in a row without an answer that helps
+	contact  time.Time               // when the last answered read was sent
+	heard    time.Time               // when it was answered
+	reading  context.CancelCauseFunc // ends the read on its way
+	failures int                     // reads in a row without an answer that helps
 }
 
 // run follows the stream until ctx ends.
--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -80,6 +80,7 @@
 	return answer, err
 }
 
+// count takes whether a call was answered.
 func (h *helpers) count(heard bool) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -125,7 +125,16 @@
 }
 
 func (i *Instance) newFollower(stream Stream, part int, lock *sync.Mutex, wait time.Duration) *follower {
-	return &follower{roused: make(chan struct{}, 1), store: i.store, stream: stream, part: part, log: i.log, clock: i.clock, lock: lock, wait: func() time.Duration { return wait }}
+	return &follower{
+		store:  i.store,
+		stream: stream,
+		part:   part,
+		log:    i.log,
+		clock:  i.clock,
+		lock:   lock,
+		roused: make(chan struct{}, 1),
+		wait:   func() time.Duration { return wait },
+	}
 }
 
 // newWorkFollower follows one part of the work stream; all share one fold.
--- a/batch/link.go
+++ b/batch/link.go
@@ -142,6 +142,7 @@
 	return report, sent, nil
 }
 
+// holding notes the hold on its way, for look.
 func (k *link) holding(sent time.Time, end context.CancelCauseFunc) {
 	k.lock.Lock()
 	defer k.lock.Unlock()
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -15,7 +15,7 @@
 }
 
 // Prefixes of keys. What follows is the job's ID, or the instance's name; the
-// term has one key alone.
+// term and the mark of the newest group of progress have one key each.
 const (
 	submissionPrefix = "s/"
 	cancelPrefix     = "c/"
--- a/placing/urgent_test.go
+++ b/placing/urgent_test.go
@@ -87,6 +87,14 @@
 	return racks
 }
 
+// fill gives every accelerator of some workers to work of low priority.
+func (c *cluster) fill(workers int) {
+	for index := range workers {
+		c.submit(testJob(hexID(index+1), 2, testStep(8, 1)))
+	}
+	c.steps(3)
+}
+
 func (c *cluster) begun(id string) bool {
 	for _, task := range c.engine.jobs[id].allTasks() {
 		if task.run == nil || task.run.phase != phaseRunning {
@@ -108,10 +116,7 @@
 func TestUrgentGangTakesRoomInOneRack(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(3)
-	for index := range 12 {
-		c.submit(testJob(hexID(index+1), 2, testStep(8, 1)))
-	}
-	c.steps(3)
+	c.fill(12)
 	urgent := testJob(hexID(99), 0, gangStep(2, 8))
 	c.submit(urgent)
 	stopped := 0
@@ -129,10 +134,7 @@
 func TestBurstOfUrgentGangsBegins(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(3)
-	for index := range 12 {
-		c.submit(testJob(hexID(index+1), 2, testStep(8, 1)))
-	}
-	c.steps(3)
+	c.fill(12)
 	for index := range 6 {
 		c.submit(testJob(hexID(50+index), 0, gangStep(2, 8)))
 	}
@@ -234,10 +236,7 @@
 func TestShortUrgentJobIsNotGivenUpWithinTheReclaimTime(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(1)
-	for index := range 4 {
-		c.submit(testJob(hexID(index+1), 2, testStep(8, 1)))
-	}
-	c.steps(3)
+	c.fill(4)
 	short := testJob(hexID(9), 0, gangStep(1, 8))
 	short.Steps[0].EstimateMS = 100
 	short.Queue.TargetMS = 100
