A question about a running job waits a moment for its end

Cause: callers ask for a job's state within 20 ms of its end, when the end is being written; they were told 'running' and asked again 0.25 s later. An urgent job of 2.5 s has 1.5 s to spare.

Ruled out: the time until the end is on record (10 to 20 ms), and slow standbys (the log is read anew for each question).

Change: the answer waits up to 0.1 s for the end, reading the log's tail.

--- a/batch/follow.go
+++ b/batch/follow.go
@@ -190,7 +190,7 @@
 	}
 	for {
 		before := f.position()
-		err := f.refresh(ctx)
+		err := f.refresh(ctx, 0)
 		if errors.Is(err, ErrForgotten) {
 			return f.load(ctx)
 		}
@@ -221,10 +221,10 @@
 }
 
 // refresh reads what was written before the call, so that a later look at the
-// fold misses nothing of it.
-func (f *follower) refresh(ctx context.Context) error {
+// fold misses nothing of it. If there is nothing, it waits up to wait for some.
+func (f *follower) refresh(ctx context.Context, wait time.Duration) error {
 	sent := f.clock.Now()
-	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), 0)
+	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), wait)
 	if err != nil {
 		return err
 	}
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -288,7 +288,7 @@
 
 // refreshTerm reads what the last claim brought.
 func (i *Instance) refreshTerm(ctx context.Context) {
-	if err := i.work.refresh(ctx); err != nil && !errors.Is(err, context.Canceled) {
+	if err := i.work.refresh(ctx, 0); err != nil && !errors.Is(err, context.Canceled) {
 		i.log.WithField("error", err.Error()).Debug("refresh_failed")
 	}
 }
@@ -296,11 +296,11 @@
 // refreshCalls reads all that callers have written by now, at any instance.
 func (i *Instance) refreshCalls(ctx context.Context) error {
 	if len(i.calls) == 0 {
-		return i.work.refresh(ctx)
+		return i.work.refresh(ctx, 0)
 	}
 	results := make(chan error, len(i.calls))
 	for _, calls := range i.calls {
-		go func() { results <- calls.refresh(ctx) }()
+		go func() { results <- calls.refresh(ctx, 0) }()
 	}
 	var failed error
 	for range i.calls {
@@ -341,7 +341,7 @@
 
 // inLog reports whether callers' records are in a part of the log, as read now.
 func (i *Instance) inLog(ctx context.Context, part int, records []jobs.Record) (bool, error) {
-	if err := i.follower(part).refresh(ctx); err != nil {
+	if err := i.follower(part).refresh(ctx, 0); err != nil {
 		return false, err
 	}
 	i.foldLock.Lock()
--- a/batch/serve.go
+++ b/batch/serve.go
@@ -47,6 +47,10 @@
 	// freshTimeout what reading it anew may take.
 	freshEnough  = 60 * time.Millisecond
 	freshTimeout = 400 * time.Millisecond
+	// endWait is how long the answer about a job that has not ended waits for its
+	// end. Callers often ask within 20 ms of it, when it is being written, and
+	// again a quarter of a second later.
+	endWait = 100 * time.Millisecond
 	// lookTimeout bounds the reading of the log before a job is denied: reads
 	// take milliseconds, and 0.3 s while the store is slow.
 	lookTimeout = 800 * time.Millisecond
@@ -126,12 +130,33 @@
 // State answers what became of a job.
 func (i *Instance) State(ctx context.Context, id string) (jobs.State, Outcome) {
 	state, outcome := i.state(ctx, id)
+	if outcome.Verdict == Accepted && !state.Final() {
+		state = i.awaitEnd(ctx, id, state)
+	}
 	if state.Final() && i.firstTold(id) {
 		i.chronicle.write(i.log, "state_told", logrus.Fields{"job": id, "state": string(state), "log_age_ms": sinceMS(i.clock.Now(), i.work.heardAt())})
 	}
 	return state, outcome
 }
 
+// awaitEnd reads on for a moment, in case the job ends, and returns its newest
+// state. Nothing is waited for while the store is out of reach.
+func (i *Instance) awaitEnd(ctx context.Context, id string, state jobs.State) jobs.State {
+	ctx, cancel := context.WithTimeout(ctx, freshTimeout)
+	defer cancel()
+	until := time.Now().Add(endWait)
+	for !state.Final() && i.loaded() && i.work.inContact() {
+		left := time.Until(until)
+		if left < time.Millisecond || i.work.refresh(ctx, left) != nil {
+			break
+		}
+		if known, ok := i.lookUp(id); ok {
+			state = known
+		}
+	}
+	return state
+}
+
 // firstTold notes that a caller is told of a job's final state, and reports
 // whether none was before.
 func (i *Instance) firstTold(id string) bool {
@@ -178,7 +203,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
-	if err := i.follower(partOf(id, i.settings.StoreParts)).refresh(ctx); err != nil {
+	if err := i.follower(partOf(id, i.settings.StoreParts)).refresh(ctx, 0); err != nil {
 		return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: retryAway}
 	}
 	if state, ok := i.lookUp(id); ok {
--- /dev/null
+++ b/batch/state_test.go
@@ -0,0 +1,107 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// tailStore is a log of states that grows while it is read. A read waits for
+// the next record as long as it was allowed to.
+type tailStore struct {
+	Store
+	lock    sync.Mutex
+	records []jobs.Record
+	reads   int
+}
+
+func (s *tailStore) add(record jobs.Record) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.records = append(s.records, record)
+}
+
+func (s *tailStore) Read(ctx context.Context, _ Stream, _ int, from int64, wait time.Duration) (Batch, error) {
+	s.lock.Lock()
+	s.reads++
+	s.lock.Unlock()
+	for until := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+		s.lock.Lock()
+		known := s.records[min(from, int64(len(s.records))):]
+		s.lock.Unlock()
+		if len(known) == 0 && time.Now().Before(until) && ctx.Err() == nil {
+			continue
+		}
+		batch := Batch{Records: known, Next: from + int64(len(known))}
+		for index := range known {
+			batch.Offsets = append(batch.Offsets, from+int64(index))
+		}
+		return batch, ctx.Err()
+	}
+}
+
+// standbyOf returns an instance that has read the log so far and knows of one
+// job that runs.
+func standbyOf(t *testing.T, store Store, id string) *Instance {
+	instance := New(Settings{Name: "a", StoreParts: 8}, store, nil, nil, metrics.NewRegistry(), quietLog())
+	record, err := jobs.SubmissionRecord(&jobs.Submission{ID: id, Steps: []jobs.Step{{Tasks: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	instance.fold.apply(partOf(id, 8), Batch{Records: []jobs.Record{record}, Offsets: []int64{0}})
+	for _, follower := range append([]*follower{instance.work}, instance.calls...) {
+		follower.loaded = true
+		follower.touch(instance.clock.Now())
+	}
+	return instance
+}
+
+// Callers ask when they expect the end, which is then being written: they are
+// told of it some milliseconds later, not when they ask again.
+func TestQuestionWaitsForAnEndThatIsBeingWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &tailStore{}
+		instance := standbyOf(t, store, "a1")
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			store.add(jobs.StateRecord("other", jobs.StateRunning))
+			time.Sleep(10 * time.Millisecond)
+			store.add(jobs.StateRecord("a1", jobs.StateDone))
+		}()
+		begin := time.Now()
+		state, outcome := instance.State(t.Context(), "a1")
+		is.Equal(outcome.Verdict, Accepted)
+		is.Equal(state, jobs.StateDone)
+		is.True(time.Since(begin) < 30*time.Millisecond)
+	})
+}
+
+// A job that goes on is answered as such after a moment, at few reads; without
+// the log nothing is waited for.
+func TestQuestionAboutAJobThatGoesOnWaitsAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &tailStore{}
+		instance := standbyOf(t, store, "a1")
+		begin := time.Now()
+		state, outcome := instance.State(t.Context(), "a1")
+		is.Equal(outcome.Verdict, Accepted)
+		is.True(!state.Final())
+		is.True(time.Since(begin) >= endWait-time.Millisecond)
+		is.True(time.Since(begin) < endWait+20*time.Millisecond)
+		is.True(store.reads <= 3)
+		instance.work.failures = failuresAway
+		begin = time.Now()
+		_, outcome = instance.State(t.Context(), "a1")
+		is.Equal(outcome.Verdict, Accepted)
+		is.True(time.Since(begin) < time.Millisecond)
+	})
+}
