A holder that is to stop goes on until the term is claimed

Ruled out: the take-over after a kill (0.2 s from the start of the processes to the first placement) and after a hand-over with a fast store (0.13 s).

Change: the holder writes its renewals without a holder and goes on, for 2 s at most, until it sees a later term; the store's and the workers' fences part the two as they do when a holder is lost. Those who wait to claim an open term do not wait anew at each renewal. Leases of a holder that handed over are reckoned 2 s longer by the next. A new holder reads what callers wrote and the workers' list while it fences and reads the progress.

--- a/batch/election.go
+++ b/batch/election.go
@@ -58,9 +58,13 @@
 
 // see takes the newest term of the fold.
 func (e *election) see(term jobs.Term, now time.Time) {
-	if term != e.term || e.changedAt.IsZero() {
-		e.term = term
-		e.changedAt = now
+	if term == e.term && !e.changedAt.IsZero() {
+		return
+	}
+	stillOpen := term.Holder == "" && e.term.Holder == "" && term.Epoch == e.term.Epoch
+	e.term = term
+	e.changedAt = now
+	if !stillOpen {
 		e.vacantAt = time.Time{}
 	}
 }
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -208,6 +208,7 @@
 		Reclaim:    i.settings.Reclaim,
 		KeepEnded:  i.settings.KeepEnded,
 		HolderGone: holderGone,
+		HandedOver: handOverGrace,
 	}
 }
 
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -28,8 +27,10 @@
 	// the reading of all progress, a megabyte or two. It takes some 50 ms as a rule.
 	// A holder that cannot do it in that time leaves the term to another.
 	prepareTimeout = 2500 * time.Millisecond
-	// handOverTimeout bounds the last append of a holder that is stopped.
-	handOverTimeout = 500 * time.Millisecond
+	// handOverGrace is how long a holder that is to stop goes on while the term is
+	// open to others: a claim takes 0.2 s as a rule, and up to 1.5 s while an append
+	// takes 0.2 s. The process serves 2.5 s after it was told to stop.
+	handOverGrace = 2 * time.Second
 )
 
 // event is an answer or a change that the placing duty takes in.
@@ -50,6 +51,7 @@
 	orders   chan struct{} // one for each order under way
 	patience patience      // with orders
 	deposed  bool
+	openedAt time.Time // when the term was opened to others; zero before
 	entries  map[string]placing.WorkerEntry // guarded by the list follower's lock
 	listed   *follower
 	running  sync.WaitGroup
@@ -78,21 +80,20 @@
 	i.leading.Store(true)
 	i.rouse()
 	defer i.leading.Store(false)
+	defer l.running.Wait()
+	defer cancel()
+	l.listed = l.newList()
+	l.start(ctx, l.listed.run)
 	if err := l.prepare(ctx); err != nil {
 		l.log.WithField("error", err.Error()).Warn("term_given_up")
 		return
 	}
 	i.metrics.leading.Update(1)
-	i.catchUp(ctx)
+	defer i.metrics.leading.Update(0)
 	l.load(handedOver)
 	l.start(ctx, l.complete)
 	l.start(ctx, l.writer.run)
-	l.listed = l.newList()
-	l.start(ctx, l.listed.run)
 	l.loop(ctx)
-	cancel()
-	l.running.Wait()
-	i.metrics.leading.Update(0)
 	l.log.Info("term_over")
 }
 
@@ -105,9 +106,17 @@
 }
 
 // prepare keeps former holders from writing progress, and then reads all of it.
+// What callers wrote is read meanwhile: one after the other took 0.9 s while the
+// store took 0.2 s for a call.
 func (l *leader) prepare(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
+	caught := make(chan struct{})
+	go func() {
+		defer close(caught)
+		l.instance.catchUp(ctx)
+	}()
+	defer func() { <-caught }()
 	if err := l.writer.fence(ctx); err != nil {
 		return err
 	}
@@ -218,13 +227,14 @@
 	timer := time.NewTimer(leadTick)
 	defer timer.Stop()
 	defer l.unwatch()
+	handOver := l.instance.handOver
 	for ctx.Err() == nil && !l.deposed {
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.instance.handOver:
-			l.handOver()
-			return
+		case <-handOver:
+			handOver = nil
+			l.open()
 		case next := <-l.events.Items():
 			next.apply(l, l.clock.Now())
 		case <-l.instance.fold.signal:
@@ -289,9 +299,13 @@
 	if l.deposed {
 		return false
 	}
-	if l.clock.Now().Sub(l.writer.confirmed()) > holderGone {
+	now := l.clock.Now()
+	if now.Sub(l.writer.confirmed()) > holderGone {
 		l.depose("the store is out of reach")
 	}
+	if !l.openedAt.IsZero() && now.Sub(l.openedAt) > handOverGrace {
+		l.depose("it was handed over")
+	}
 	return !l.deposed
 }
 
@@ -371,14 +385,11 @@
 	l.instance.metrics.count("decisions." + note.Event)
 }
 
-// handOver writes the term without a holder, so that another instance claims
-// it at once.
-func (l *leader) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	if err := l.writer.handOver(ctx); err != nil && !errors.Is(err, context.Canceled) {
-		l.log.WithField("error", err.Error()).Warn("hand_over_failed")
-		return
-	}
-	l.log.Info("term_handed_over")
+// open has the term renewed without a holder from now on, so that another
+// instance claims it at once. This one goes on until then, as the others take
+// over from a holder that is lost: by the store's and the workers' fences.
+func (l *leader) open() {
+	l.openedAt = l.clock.Now()
+	l.writer.open()
+	l.log.Info("term_opened")
 }
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -27,6 +27,7 @@
 
 	lock        sync.Mutex
 	term        jobs.Term
+	opened      bool      // a renewal is due whatever the time
 	confirmedAt time.Time // when the last append to the states that succeeded was sent
 }
 
@@ -72,13 +73,19 @@
 
 // renewIfDue renews the term if nothing is on its way.
 func (w *fencedWriter) renewIfDue(now time.Time) {
-	if w.waiting > 0 || now.Sub(w.confirmed()) < renewEvery {
+	if w.waiting > 0 || !w.due(now) {
 		return
 	}
 	w.waiting++
 	w.groups <- group{}
 }
 
+func (w *fencedWriter) due(now time.Time) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.opened || now.Sub(w.confirmedAt) >= renewEvery
+}
+
 func (w *fencedWriter) confirmed() time.Time {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -120,8 +127,7 @@
 	if len(next.details) == 0 {
 		return w.writeStates(ctx, next.states)
 	}
-	due := w.leader.clock.Now().Sub(w.confirmed()) >= renewEvery
-	if len(next.states) == 0 && !due {
+	if len(next.states) == 0 && !w.due(w.leader.clock.Now()) {
 		return w.writeDetails(ctx, next.details)
 	}
 	detailed := make(chan error, 1)
@@ -148,12 +154,12 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.term.Renewals++
+	w.opened = false
 	return w.term
 }
 
 // renewalSeen reports whether a group of states was read back, of which the
-// first record is the renewal. One that hands the term over is the last and
-// nothing is read after it.
+// first record is the renewal.
 func (w *fencedWriter) renewalSeen([]jobs.Record) bool {
 	read := w.leader.instance.term()
 	w.lock.Lock()
@@ -169,26 +175,13 @@
 	return i.fold.table.Mark() == string(records[0].Value)
 }
 
-// handOver gives the term up. An append on its way is waited for, as its
-// sequence number comes first.
-func (w *fencedWriter) handOver(ctx context.Context) error {
-	for w.waiting > 0 {
-		next, ok := w.leader.events.Take(ctx)
-		if !ok {
-			return ctx.Err()
-		}
-		next.apply(w.leader, w.leader.clock.Now())
-	}
+// open leaves the holder out of the term from the next renewal on, which is due
+// at once.
+func (w *fencedWriter) open() {
 	w.lock.Lock()
+	defer w.lock.Unlock()
 	w.term.Holder = ""
-	given := w.term
-	w.lock.Unlock()
-	record, err := jobs.TermRecord(given)
-	if err != nil {
-		return err
-	}
-	w.states.sequence++
-	return w.states.try(ctx, []jobs.Record{record})
+	w.opened = true
 }
 
 // recorded says that a group is durable.
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -17,6 +17,8 @@
 	// HolderGone is when a holder of the term that lost the store gives up for
 	// certain; leases it granted until then may run on.
 	HolderGone time.Duration
+	// HandedOver is the same of a holder that opened the term to others.
+	HandedOver time.Duration
 }
 
 // Engine is the state of the placing instance. Its methods are called by one
@@ -134,13 +136,14 @@
 }
 
 // Load takes over the fold at the beginning of the term. Runs on record are
-// looked for at their workers; handedOver says that the former holder has
-// certainly stopped.
+// looked for at their workers; handedOver says that the former holder opened the
+// term to others before it was claimed.
 func (e *Engine) Load(list []*jobs.Job, handedOver bool, now time.Time) {
-	e.formerLapse = now.Add(LeaseLapse(e.limits.Lease))
-	if !handedOver {
-		e.formerLapse = e.formerLapse.Add(e.limits.HolderGone)
+	gone := e.limits.HolderGone
+	if handedOver {
+		gone = e.limits.HandedOver
 	}
+	e.formerLapse = now.Add(LeaseLapse(e.limits.Lease) + gone)
 	for _, known := range list {
 		e.Learn(known, now)
 	}
