Runs that stand still are noticed by two reports, and waited for by their worth

Change: two reports without progress keep new work off the workers that may be to blame; those on which other work goes on are not. A run is stopped once it has stood still for as long as it had worked.

--- a/placing/care.go
+++ b/placing/care.go
@@ -6,13 +6,17 @@
 )
 
 const (
-	// stallAfter is how long a task may make no progress before it is held to
-	// stand still: reports come every two seconds at most, and a task takes
-	// several seconds for its hundred parts.
-	stallAfter = 3500 * time.Millisecond
-	// stallShare is the share of the expected run time that may pass without
-	// progress, for tasks so long that one part takes longer than stallAfter.
-	stallShare = 0.3
+	// A run stands still if reports show no progress for stallAfter, or for
+	// stallParts times as long as one of its hundred parts has taken so far: slow
+	// workers are four to eight times slower for some seconds.
+	stallAfter = 1500 * time.Millisecond
+	stallParts = 12
+	// A run that was never seen to make progress stands still after startStall, or
+	// startShare of its expected run time. That leaves room for estimates that are
+	// off by a factor of three on workers that are eight times slower: those show
+	// a hundredth after that.
+	startStall = time.Second
+	startShare = 0.25
 	// overdueFactor times the expected run time is when a run that reports all of
 	// its work as done is given up: reports count work at the speed of a sound
 	// worker, and slow ones are four to eight times slower for some seconds.
@@ -39,8 +43,11 @@
 				e.stopUnit(run, "worker leaving", now)
 				continue
 			}
-			if known.answering && e.stalled(run, now) {
-				known.health.failed(now)
+			if !known.answering || !e.stalled(run, now) {
+				continue
+			}
+			e.avoidStalled(run, now)
+			if e.outwaited(run, now) {
 				idle := now.Sub(run.percentAt).Milliseconds()
 				e.stopUnit(run, "no progress for_ms "+strconv.FormatInt(idle, 10)+" percent "+strconv.Itoa(run.percent), now)
 			}
@@ -102,14 +109,79 @@
 	return time.Duration(float64(worked) * float64(100-run.percent) / float64(run.percent))
 }
 
+// stalled reports whether a worker's reports show a run to stand still. What
+// was done since the newest report is not known.
 func (e *Engine) stalled(run *run, now time.Time) bool {
 	if run.task.step.spec.Lasting || run.task.step.spec.Fills || !run.seen {
 		return false
 	}
 	expected := e.runtime(run.task.step.job, run.task.key.Step)
-	allowed := max(stallAfter, time.Duration(stallShare*float64(expected)))
 	if run.percent >= 100 {
-		allowed = max(allowed, overdueFactor*expected)
+		return now.Sub(run.percentAt) > max(stallAfter, overdueFactor*expected)
+	}
+	begin, whole := run.task.step.workingSince(run)
+	if !whole {
+		return false
+	}
+	if run.baseAt.After(begin) {
+		begin = run.baseAt
+	}
+	if run.percent == run.basePercent {
+		return run.reportedAt.Sub(begin) > max(startStall, time.Duration(startShare*float64(expected)))
+	}
+	part := run.percentAt.Sub(begin) / time.Duration(run.percent-run.basePercent)
+	return run.reportedAt.Sub(run.percentAt) > max(stallAfter, stallParts*part)
+}
+
+// outwaited reports whether a run has stood still for as long as it had worked:
+// until then, waiting for it costs less than what its stop would throw away. Most
+// workers that stand still go on after five to seven seconds.
+func (e *Engine) outwaited(run *run, now time.Time) bool {
+	worked := run.percentAt.Sub(run.startedAt)
+	if run.task.step.spec.Checkpoints {
+		worked = min(worked, checkpointLoss)
+	}
+	return now.Sub(run.percentAt) > worked
+}
+
+// avoidStalled keeps new work off the workers on which a run may stand still. The
+// members of a gang stand still together, wherever the cause is: workers on which
+// other work goes on are not to blame.
+func (e *Engine) avoidStalled(run *run, now time.Time) {
+	for _, member := range run.task.step.tasks {
+		if member.run == nil || member.run != run && !run.task.step.spec.Gang {
+			continue
+		}
+		if node := member.run.node; !node.proved(run.task.step) {
+			node.health.stalled(now)
+		}
+	}
+}
+
+// proved reports whether the newest report of a node showed progress of work
+// other than a step's.
+func (n *node) proved(step *step) bool {
+	for _, run := range n.runs {
+		if run.task.step != step && run.seen && run.percent > run.basePercent && run.percentAt.Equal(run.reportedAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// workingSince is when a run began to work: the members of a gang wait for each
+// other. whole is false while members are missing.
+func (s *step) workingSince(run *run) (begin time.Time, whole bool) {
+	if !s.spec.Gang {
+		return run.startedAt, true
+	}
+	for _, member := range s.tasks {
+		if member.run == nil || member.run.phase != phaseRunning || !member.run.seen {
+			return begin, false
+		}
+		if member.run.startedAt.After(begin) {
+			begin = member.run.startedAt
+		}
 	}
-	return now.Sub(run.percentAt) > allowed
+	return begin, true
 }
--- a/placing/health.go
+++ b/placing/health.go
@@ -35,6 +35,12 @@
 func (h *health) busy(now time.Time)   { h.pause(now, busyPause) }
 func (h *health) silent(now time.Time) { h.pause(now, silentPause) }
 
+// stalled keeps new work off until the next report, and leaves the worker wary.
+func (h *health) stalled(now time.Time) {
+	h.wary = true
+	h.pause(now, restFirst)
+}
+
 func (h *health) good() { *h = health{} }
 
 func (h *health) failed(now time.Time) {
--- a/placing/job.go
+++ b/placing/job.go
@@ -76,6 +76,10 @@
 	startedAt   time.Time // when the worker was known to have it
 	percent     int
 	percentAt   time.Time // when percent last grew
+	reportedAt  time.Time // of the newest report that showed it
+	resumed     bool      // from a saved state, or under a former holder of the term
+	basePercent int       // of a resumed run, as first reported
+	baseAt      time.Time // when it was
 	stopSentAt  time.Time
 	stopDoneAt  time.Time // when the worker took the stop
 	why         string    // of the stop
@@ -237,7 +241,7 @@
 		return
 	}
 	node := e.node(kept.Worker, lapse)
-	task.run = &run{task: task, number: kept.Run, node: node, phase: phaseRunning, wantNode: true}
+	task.run = &run{task: task, number: kept.Run, node: node, phase: phaseRunning, wantNode: true, resumed: true}
 	node.add(task.run)
 }
 
--- a/placing/report.go
+++ b/placing/report.go
@@ -67,11 +67,19 @@
 			run.startedAt = now
 		}
 		run.percentAt = now
+		if run.resumed {
+			run.percent, run.basePercent, run.baseAt = row.Percent, row.Percent, now
+		}
 	}
+	run.reportedAt = now
 	if row.Percent > run.percent {
 		run.percent = row.Percent
 		run.percentAt = now
+		if run.resumed {
+			run.percent, run.basePercent, run.baseAt = row.Percent, row.Percent, now
+		}
 	}
+	run.reportedAt = now
 	if row.Checkpoint != "" {
 		e.keepCheckpoint(run.task, row.Checkpoint)
 	}
@@ -104,7 +112,7 @@
 		e.plan.Stops = append(e.plan.Stops, Stop{Task: row.Task, Run: row.Run, Worker: known.entry.ID})
 		return nil
 	}
-	run := &run{task: task, number: row.Run, node: known, phase: phaseRunning, startedAt: now}
+	run := &run{task: task, number: row.Run, node: known, phase: phaseRunning, startedAt: now, resumed: true}
 	known.add(run)
 	if task.run == nil && !task.done && !job.state.Final() {
 		task.run = run
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -51,6 +51,7 @@
 	}
 	run.phase = phaseOrdered
 	run.orderedAt = now
+	run.resumed = run.task.checkpoint != ""
 	run.percentAt = now
 	e.plan.Starts = append(e.plan.Starts, Start{
 		Task:       run.task.key,
