Callers are told of ends while progress cannot be written

Cause: parts of the store's log may be away on their own. With the part of the progress away for 3.5 s, the holder renewed nothing, as a renewal waited for the group of progress on its way; it lost the term to an instance that could write no better, and ended jobs were told of when the part was back.

Ruled out: the store as a whole (other parts answered), the take-over itself.

Change: while a group of progress is on its way for more than 0.6 s, its part counts as away: the term is renewed beside it, and final states go ahead, which stand without their progress as they did before. Nothing new can be placed then.

--- a/batch/handover_test.go
+++ b/batch/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -70,6 +71,41 @@
 	})
 }
 
+// stuckStore answers no append to one part.
+type stuckStore struct {
+	*partedStore
+	part int
+}
+
+func (s *stuckStore) Append(ctx context.Context, part int, records []jobs.Record, fence *Fence) error {
+	if part == s.part {
+		<-ctx.Done()
+		return ErrUnknown
+	}
+	return s.partedStore.Append(ctx, part, records, fence)
+}
+
+// A part of the log is away, the one with the progress. The holder keeps the
+// term, as another could write no better, and callers are told of ends.
+func TestStatesAreWrittenWhileProgressCannotBe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newPartedStore()
+		l := leaderOn(ctx, &stuckStore{partedStore: store, part: 7}, 3)
+		progress, err := jobs.ProgressRecord("a1", &jobs.Progress{State: jobs.StateRunning})
+		is.NoErr(err)
+		l.writer.offer([]jobs.Record{progress}, nil)
+		time.Sleep(2 * time.Second)
+		is.True(len(store.keys(statePart)) >= 4) // renewals
+		l.writer.offerEarly([]jobs.Record{jobs.StateRecord("a2", jobs.StateDone)})
+		time.Sleep(10 * time.Millisecond)
+		is.True(slices.Contains(store.keys(statePart), "e/a2"))
+		cancel()
+		l.running.Wait()
+	})
+}
+
 // The renewals of an open term do not start the wait of those who would claim it
 // anew.
 func TestOpenTermIsClaimedThoughItsHolderGoesOn(t *testing.T) {
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -51,7 +51,7 @@
 	orders   chan struct{} // one for each order under way
 	patience patience      // with orders
 	deposed  bool
-	openedAt time.Time // when the term was opened to others; zero before
+	openedAt time.Time                      // when the term was opened to others; zero before
 	entries  map[string]placing.WorkerEntry // guarded by the list follower's lock
 	listed   *follower
 	running  sync.WaitGroup
@@ -332,6 +332,9 @@
 	if len(plan.Records) > 0 {
 		l.writer.offer(plan.Records, plan.States)
 	}
+	if len(plan.EarlyStates) > 0 {
+		l.writer.offerEarly(plan.EarlyStates)
+	}
 	for _, stop := range plan.Stops {
 		if link := l.links[stop.Worker]; link != nil {
 			l.start(ctx, func(ctx context.Context) { link.stop(ctx, stop) })
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -5,11 +5,17 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
 )
 
+// awayAfter is how long progress may be on its way before its part of the log
+// counts as away, and the term is renewed beside it. With a store that takes 0.3 s
+// for an append, a renewal before that would hold up the group that it waits for.
+const awayAfter = 600 * time.Millisecond
+
 // group is what the holder of the term writes down as one.
 type group struct {
 	details []jobs.Record // progress
@@ -25,7 +31,12 @@
 	states  *fencedPart
 	details *fencedPart // nil if states and progress share a part
 
+	early   chan struct{} // there are early states
+	beside  atomic.Bool   // they are being written beside a group
+	writing sync.Mutex    // held while states are appended
+
 	lock        sync.Mutex
+	earlyStates []jobs.Record // final ones that wait for no group
 	term        jobs.Term
 	opened      bool      // a renewal is due whatever the time
 	confirmedAt time.Time // when the last append to the states that succeeded was sent
@@ -36,6 +47,7 @@
 	w := &fencedWriter{
 		leader:      leader,
 		groups:      make(chan group, 2), // the engine's and a renewal
+		early:       make(chan struct{}, 1),
 		term:        term,
 		confirmedAt: leader.clock.Now(),
 	}
@@ -71,6 +83,27 @@
 	w.groups <- group{details: details, states: states}
 }
 
+// offerEarly takes final states that are to be written although a group of
+// progress is on its way. If none is any more, they go with the next, which has
+// the progress of the same jobs.
+func (w *fencedWriter) offerEarly(states []jobs.Record) {
+	w.lock.Lock()
+	w.earlyStates = append(w.earlyStates, states...)
+	w.lock.Unlock()
+	select {
+	case w.early <- struct{}{}:
+	default:
+	}
+}
+
+func (w *fencedWriter) takeEarly() []jobs.Record {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	states := w.earlyStates
+	w.earlyStates = nil
+	return states
+}
+
 // renewIfDue renews the term if nothing is on its way.
 func (w *fencedWriter) renewIfDue(now time.Time) {
 	if w.waiting > 0 || !w.due(now) {
@@ -112,6 +145,25 @@
 	}
 }
 
+// writeBeside writes early states and a renewal while a group is on its way,
+// which does not wait for them.
+func (w *fencedWriter) writeBeside(ctx context.Context) {
+	if w.beside.Swap(true) {
+		return
+	}
+	w.leader.start(ctx, func(ctx context.Context) {
+		defer w.beside.Store(false)
+		w.reportEarly(ctx, w.writeStates(ctx, nil))
+	})
+}
+
+// reportEarly passes on that the store refused states that belong to no group.
+func (w *fencedWriter) reportEarly(ctx context.Context, err error) {
+	if errors.Is(err, ErrFenced) {
+		w.leader.events.Put(ctx, fencedOff{})
+	}
+}
+
 // write appends a group: progress and, at the same time, the states with a
 // renewal of the term. The group is durable once both are; a final state without
 // its progress is final for the next holder too, so neither has to come first. A
@@ -127,21 +179,46 @@
 	if len(next.details) == 0 {
 		return w.writeStates(ctx, next.states)
 	}
-	if len(next.states) == 0 && !w.due(w.leader.clock.Now()) {
-		return w.writeDetails(ctx, next.details)
-	}
 	detailed := make(chan error, 1)
 	go func() { detailed <- w.writeDetails(ctx, next.details) }()
-	return errors.Join(w.writeStates(ctx, next.states), <-detailed)
+	if len(next.states) == 0 && !w.due(w.leader.clock.Now()) {
+		return w.awaitDetails(ctx, detailed)
+	}
+	if err := w.writeStates(ctx, next.states); err != nil {
+		return errors.Join(err, <-detailed)
+	}
+	return w.awaitDetails(ctx, detailed)
+}
+
+// awaitDetails goes on writing the part with the states while progress is being
+// appended: parts of the store may be away on their own. Without it the term
+// passed on to an instance that could write progress no better, and no caller
+// was told of an end for 3.5 s.
+func (w *fencedWriter) awaitDetails(ctx context.Context, detailed <-chan error) error {
+	renewal := time.NewTimer(awayAfter)
+	defer renewal.Stop()
+	for {
+		select {
+		case err := <-detailed:
+			return err
+		case <-w.early:
+		case <-renewal.C:
+			renewal.Reset(renewEvery)
+		}
+		w.writeBeside(ctx)
+	}
 }
 
 func (w *fencedWriter) writeStates(ctx context.Context, states []jobs.Record) error {
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	sent := w.leader.clock.Now()
 	renewal, err := jobs.TermRecord(w.nextTerm())
 	if err != nil {
 		panic("batch: a term cannot be encoded: " + err.Error())
 	}
-	if err := w.states.append(ctx, append([]jobs.Record{renewal}, states...)); err != nil {
+	group := slices.Concat([]jobs.Record{renewal}, states, w.takeEarly())
+	if err := w.states.append(ctx, group); err != nil {
 		return err
 	}
 	w.lock.Lock()
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -41,11 +41,12 @@
 	gangDemand   demand
 
 	plan        Plan
-	pending     []*run // placed, their record not yet sent
-	recording   []*run // placed, their record on its way
-	changed     []*job // dirty, in order
-	groupLimit  int    // bytes of records that end a group
-	inFlight    bool   // a batch of records is on its way
+	pending     []*run    // placed, their record not yet sent
+	recording   []*run    // placed, their record on its way
+	changed     []*job    // dirty, in order
+	groupLimit  int       // bytes of records that end a group
+	inFlight    bool      // a batch of records is on its way
+	flightAt    time.Time // since when
 	ackPending  map[*node]int64
 	ackFlight   map[*node]int64
 	passedAt    time.Time
@@ -104,17 +105,20 @@
 
 // Plan is what is to be done next.
 type Plan struct {
-	Records []jobs.Record    // progress, to be appended as one group
-	States  []jobs.Record    // states, to be appended after Records; then call Recorded
-	Starts  []Start          // to be sent
-	Stops   []Stop           // to be sent
-	Acks    map[string]int64 // by worker: ends that may be forgotten
-	Paces   []Pace           // to be sent; call PaceAnswered
-	Ask     *Ask             // to be asked; call Advised with the answer
-	Forget  []string         // workers that need not be watched any more
-	Expired []string         // ended jobs whose records can be dropped
-	Notes   []Note           // what was decided and why
-	Again   time.Duration    // when to ask again although nothing happens; 0: no need
+	Records []jobs.Record // progress, to be appended as one group
+	States  []jobs.Record // states, to be appended after Records; then call Recorded
+	// EarlyStates are final states to be appended at once, though a group is on its
+	// way: a final state stands without its progress.
+	EarlyStates []jobs.Record
+	Starts      []Start          // to be sent
+	Stops       []Stop           // to be sent
+	Acks        map[string]int64 // by worker: ends that may be forgotten
+	Paces       []Pace           // to be sent; call PaceAnswered
+	Ask         *Ask             // to be asked; call Advised with the answer
+	Forget      []string         // workers that need not be watched any more
+	Expired     []string         // ended jobs whose records can be dropped
+	Notes       []Note           // what was decided and why
+	Again       time.Duration    // when to ask again although nothing happens; 0: no need
 }
 
 // Configure takes the operators' queues and guarantees.
@@ -236,14 +240,17 @@
 	e.care(now)
 	e.dropFinished(now)
 	e.place(now)
-	e.flush()
+	e.flush(now)
 	plan := e.plan
 	e.plan = Plan{}
 	return plan
 }
 
 // flush sends one batch of records, if none is on its way.
-func (e *Engine) flush() {
+func (e *Engine) flush(now time.Time) {
+	if e.inFlight && now.Sub(e.flightAt) >= earlyAfter {
+		e.statesEarly()
+	}
 	if e.inFlight || (len(e.changed) == 0 && len(e.ackPending) == 0) {
 		return
 	}
@@ -266,6 +273,18 @@
 		e.ackFlight, e.ackPending = e.ackPending, map[*node]int64{}
 	}
 	e.inFlight = true
+	e.flightAt = now
+}
+
+// statesEarly writes down which jobs have ended while a group is on its way for
+// long: their callers wait.
+func (e *Engine) statesEarly() {
+	for _, job := range e.changed {
+		if job.state.Final() && job.state != job.shown {
+			e.plan.EarlyStates = append(e.plan.EarlyStates, jobs.StateRecord(job.submission.ID, job.state))
+			job.shown = job.state
+		}
+	}
 }
 
 // recordChanged writes the changed jobs down, as many as one group may hold.
@@ -345,6 +364,10 @@
 	// groupBytes ends a group of records; the store takes 2 MB in one append, and
 	// the largest record is about 150 KB.
 	groupBytes = 1 << 20
+	// earlyAfter is how long a group may be on its way before final states go ahead
+	// of the next. While the store is slow, appends take up to 0.3 s, and a state
+	// ahead would hold up the next group; after twice that its part is away.
+	earlyAfter = 600 * time.Millisecond
 	// forgetEvery is how many decisions lie between two looks for jobs to
 	// forget; decisions come every 25 ms to 100 ms.
 	forgetEvery = 256
--- a/placing/engine_test.go
+++ b/placing/engine_test.go
@@ -168,3 +168,29 @@
 		is.Equal(len(plan.States) == 1, known.Shown != jobs.StateDone)
 	}
 }
+
+// While a group of records is on its way for long, ends do not wait for it: the
+// final state goes ahead, once, and the progress follows with the next group.
+func TestFinalStateDoesNotWaitForAGroupThatIsStuck(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(1)
+	e.Load(nil, true, testStart)
+	e.List([]WorkerEntry{testWorker("w1", "r1-0")}, testStart)
+	e.Report("w1", testStart, nil, nil, time.Time{}, testStart)
+	first := testJob(hexID(1), 1, testStep(1, 1))
+	e.Learn(&jobs.Job{Submission: first}, testStart)
+	startAll(e, testStart)
+	e.Learn(&jobs.Job{Submission: testJob(hexID(2), 1, testStep(1, 1))}, testStart)
+	now := testStart.Add(time.Second)
+	is.Equal(len(e.Decide(now).Records), 1) // on its way from now on
+	key := jobs.TaskKey{Job: first.ID}
+	e.Report("w1", now, nil, []EndedTask{{Number: 1, Task: key, Run: 1, How: EndDone}}, time.Time{}, now)
+	is.Equal(len(e.Decide(now.Add(earlyAfter/2)).EarlyStates), 0)
+	early := e.Decide(now.Add(earlyAfter)).EarlyStates
+	is.Equal(early, []jobs.Record{jobs.StateRecord(first.ID, jobs.StateDone)})
+	is.Equal(len(e.Decide(now.Add(2*earlyAfter)).EarlyStates), 0)
+	e.Recorded(now.Add(2 * earlyAfter))
+	plan := e.Decide(now.Add(2*earlyAfter + time.Second))
+	is.Equal(len(plan.Records), 1)
+	is.Equal(len(plan.States), 0)
+}
