A start that is not wanted any more is not sent

Change: a stop withdraws the start of the same run if it still waits for a slot; if a try is open the stop settles the run as before. The test fails without it (the start is sent once a slot is free).

--- a/batch/leader.go
+++ b/batch/leader.go
@@ -48,8 +48,9 @@
 	events   *ring.Ring[event]
 	links    map[string]*link
 	writer   *fencedWriter
-	orders   chan struct{} // one for each order under way
-	patience patience      // with orders
+	orders   chan struct{}              // one for each order under way
+	starting map[startKey]chan struct{} // closed to withdraw the start
+	patience patience                   // with orders
 	deposed  bool
 	openedAt time.Time                      // when the term was opened to others; zero before
 	entries  map[string]placing.WorkerEntry // guarded by the list follower's lock
@@ -72,6 +73,7 @@
 		orders:   make(chan struct{}, orderSlots),
 		patience: patience{least: orderTimeout},
 		links:    map[string]*link{},
+		starting: map[startKey]chan struct{}{},
 		entries:  map[string]placing.WorkerEntry{},
 		ctx:      ctx,
 	}
@@ -336,9 +338,7 @@
 		l.writer.offerEarly(plan.EarlyStates)
 	}
 	for _, stop := range plan.Stops {
-		if link := l.links[stop.Worker]; link != nil {
-			l.start(ctx, func(ctx context.Context) { link.stop(ctx, stop) })
-		}
+		l.sendStop(ctx, stop)
 	}
 	for _, order := range plan.Starts {
 		l.sendStart(ctx, order)
@@ -364,15 +364,6 @@
 	}
 }
 
-func (l *leader) sendStart(ctx context.Context, order placing.Start) {
-	link := l.links[order.Worker]
-	if link == nil {
-		l.engine.StartAnswered(order.Worker, order.Task, order.Run, placing.StartRefused, l.clock.Now())
-		return
-	}
-	l.start(ctx, func(ctx context.Context) { link.startRun(ctx, order) })
-}
-
 func (l *leader) logNote(note placing.Note) {
 	fields := logrus.Fields{}
 	if note.Job != "" {
--- a/batch/order.go
+++ b/batch/order.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/teaselcleat/teaselcleat/jobs"
 	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/placing"
@@ -28,10 +30,15 @@
 	lookSlack = 100 * time.Millisecond
 )
 
-// startRun sends a start and brings its answer to the placing duty.
-func (k *link) startRun(ctx context.Context, order placing.Start) {
+// errWithdrawn ends an order that is not wanted any more before it is sent.
+var errWithdrawn = eris.New("the order is not wanted any more")
+
+// startRun sends a start and brings its answer to the placing duty. Once
+// withdrawn is closed no further try is sent: on a slow instance one may wait
+// for a slot until its job was cancelled long ago.
+func (k *link) startRun(ctx context.Context, order placing.Start, withdrawn <-chan struct{}) {
 	sent := k.leader.clock.Now()
-	open, err := k.send(ctx, func(ctx context.Context) error {
+	open, err := k.send(ctx, withdrawn, func(ctx context.Context) error {
 		_, err := k.leader.instance.workers.Start(ctx, k.worker(), StartOrder{
 			Task:       order.Task,
 			Run:        order.Run,
@@ -59,11 +66,11 @@
 // send gives an order until it is answered or the tries are used up. open says
 // that a try went unanswered before: it may take effect later, whatever the
 // answer to another one was.
-func (k *link) send(ctx context.Context, order func(context.Context) error) (open bool, err error) {
+func (k *link) send(ctx context.Context, withdrawn <-chan struct{}, order func(context.Context) error) (open bool, err error) {
 	for range orderTries {
-		err = k.try(ctx, order)
+		err = k.try(ctx, withdrawn, order)
 		var refused *OrderError
-		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
+		if err == nil || errors.As(err, &refused) || errors.Is(err, errWithdrawn) || ctx.Err() != nil {
 			return open, err
 		}
 		open = true
@@ -71,13 +78,20 @@
 	return open, err
 }
 
-func (k *link) try(ctx context.Context, order func(context.Context) error) error {
+func (k *link) try(ctx context.Context, withdrawn <-chan struct{}, order func(context.Context) error) error {
 	select {
 	case k.leader.orders <- struct{}{}:
+	case <-withdrawn:
+		return errWithdrawn
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	defer func() { <-k.leader.orders }()
+	select {
+	case <-withdrawn:
+		return errWithdrawn
+	default:
+	}
 	ctx, cancel := context.WithTimeout(ctx, k.leader.patience.usualLimit())
 	defer cancel()
 	sent := k.leader.clock.Now()
@@ -94,6 +108,9 @@
 	if err == nil {
 		return placing.StartAccepted
 	}
+	if !open && errors.Is(err, errWithdrawn) {
+		return placing.StartRefused
+	}
 	var refused *OrderError
 	if open || !errors.As(err, &refused) {
 		return placing.StartUnknown
@@ -111,7 +128,7 @@
 
 // stop sends a stop; one that is not answered comes again from the engine.
 func (k *link) stop(ctx context.Context, order placing.Stop) {
-	_, err := k.send(ctx, func(ctx context.Context) error {
+	_, err := k.send(ctx, nil, func(ctx context.Context) error {
 		_, err := k.leader.instance.workers.Stop(ctx, k.worker(), StopOrder{Task: order.Task, Run: order.Run, Epoch: k.leader.epoch})
 		return err
 	})
@@ -130,7 +147,7 @@
 
 // pace sends a pace; one that is not answered comes again from the engine.
 func (k *link) pace(ctx context.Context, order placing.Pace) {
-	_, err := k.send(ctx, func(ctx context.Context) error {
+	_, err := k.send(ctx, nil, func(ctx context.Context) error {
 		return k.leader.instance.workers.Pace(ctx, k.worker(), PaceOrder{Task: order.Task, Run: order.Run, Percent: order.Percent, Epoch: k.leader.epoch})
 	})
 	var refused *OrderError
@@ -149,6 +166,38 @@
 
 func (p paceAnswered) apply(l *leader, _ time.Time) { l.engine.PaceAnswered(p.pace) }
 
+// startKey names a start.
+type startKey struct {
+	worker string
+	task   jobs.TaskKey
+	run    int
+}
+
+// sendStart has a start sent, unless it is withdrawn before.
+func (l *leader) sendStart(ctx context.Context, order placing.Start) {
+	link := l.links[order.Worker]
+	if link == nil {
+		l.engine.StartAnswered(order.Worker, order.Task, order.Run, placing.StartRefused, l.clock.Now())
+		return
+	}
+	withdrawn := make(chan struct{})
+	l.starting[startKey{worker: order.Worker, task: order.Task, run: order.Run}] = withdrawn
+	l.start(ctx, func(ctx context.Context) { link.startRun(ctx, order, withdrawn) })
+}
+
+// sendStop has a stop sent. The start of the same run, if it still waits, is
+// withdrawn.
+func (l *leader) sendStop(ctx context.Context, order placing.Stop) {
+	key := startKey{worker: order.Worker, task: order.Task, run: order.Run}
+	if withdrawn := l.starting[key]; withdrawn != nil {
+		close(withdrawn)
+		delete(l.starting, key)
+	}
+	if link := l.links[order.Worker]; link != nil {
+		l.start(ctx, func(ctx context.Context) { link.stop(ctx, order) })
+	}
+}
+
 // startAnswered brings the answer to a start.
 type startAnswered struct {
 	worker string
@@ -158,6 +207,7 @@
 }
 
 func (s startAnswered) apply(l *leader, now time.Time) {
+	delete(l.starting, startKey{worker: s.worker, task: s.task, run: s.run})
 	l.engine.StartAnswered(s.worker, s.task, s.run, s.result, now)
 }
 
--- a/batch/order_test.go
+++ b/batch/order_test.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/teaselcleat/teaselcleat/jobs"
 	"github.com/teaselcleat/teaselcleat/placing"
 	"github.com/teaselcleat/teaselcleat/ring"
 )
@@ -66,7 +67,7 @@
 	logger.SetOutput(io.Discard)
 	instance := &Instance{workers: workers, metrics: newInstruments(metrics.NewRegistry())}
 	l := &leader{instance: instance, log: logrus.NewEntry(logger), clock: NewClock(), events: ring.New[event](16),
-		orders: make(chan struct{}, orderSlots), patience: patience{least: orderTimeout}}
+		orders: make(chan struct{}, orderSlots), starting: map[startKey]chan struct{}{}, links: map[string]*link{}, patience: patience{least: orderTimeout}}
 	return &link{leader: l, entry: placing.WorkerEntry{ID: "w"}}, workers
 }
 
@@ -91,7 +92,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				link, workers := scriptedLink(c.answers...)
-				link.startRun(t.Context(), placing.Start{Worker: "w", Run: 1})
+				link.startRun(t.Context(), placing.Start{Worker: "w", Run: 1}, nil)
 				answer, ok := link.leader.events.TryTake()
 				is.True(ok)
 				is.Equal(answer.(startAnswered).result, c.result)
@@ -145,3 +146,31 @@
 	p.lost()
 	is.True(p.usualLimit() <= patienceMost)
 }
+
+// On a slow instance starts wait for a slot. One whose run is stopped meanwhile
+// is never sent: its job may have been cancelled seconds ago. If a try is open
+// already, the run may yet begin, and the stop settles it.
+func TestStartThatIsNotWantedAnyMoreIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		link, workers := scriptedLink(taken)
+		l := link.leader
+		l.links["w"] = link
+		for range orderSlots {
+			l.orders <- struct{}{} // all are in use
+		}
+		task := jobs.TaskKey{Job: "a1"}
+		l.sendStart(ctx, placing.Start{Task: task, Worker: "w", Run: 1})
+		synctest.Wait()
+		l.sendStop(ctx, placing.Stop{Task: task, Worker: "w", Run: 1})
+		synctest.Wait()
+		answer, ok := l.events.TryTake()
+		is.True(ok)
+		is.Equal(answer.(startAnswered).result, placing.StartRefused)
+		is.Equal(workers.calls, 0)
+		is.Equal(startResult(true, errWithdrawn), placing.StartUnknown)
+		cancel()
+		l.running.Wait()
+	})
+}
