A question reads the log once where it read it twice

Change: one read that may wait does both. Questions of other instances and cancellations do not wait, as before.

--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -197,7 +197,7 @@
 	if !i.loaded() || !i.work.inContact() {
 		return &relaypb.Answer{}
 	}
-	state, outcome := i.ownState(ctx, id)
+	state, outcome := i.ownState(ctx, id, 0)
 	switch outcome.Verdict {
 	case Accepted:
 		return &relaypb.Answer{Looked: true, State: string(state)}
--- a/batch/serve.go
+++ b/batch/serve.go
@@ -51,6 +51,8 @@
 	// end. Callers often ask within 20 ms of it, when it is being written, and
 	// again a quarter of a second later.
 	endWait = 100 * time.Millisecond
+	// leastWait is the shortest wait that the store takes.
+	leastWait = time.Millisecond
 	// lookTimeout bounds the reading of the log before a job is denied: reads
 	// take milliseconds, and 0.3 s while the store is slow.
 	lookTimeout = 800 * time.Millisecond
@@ -110,7 +112,7 @@
 }
 
 func (i *Instance) cancelJob(ctx context.Context, id string) Outcome {
-	state, outcome := i.state(ctx, id)
+	state, outcome := i.state(ctx, id, 0)
 	if outcome.Verdict != Accepted {
 		return outcome
 	}
@@ -129,34 +131,13 @@
 
 // State answers what became of a job.
 func (i *Instance) State(ctx context.Context, id string) (jobs.State, Outcome) {
-	state, outcome := i.state(ctx, id)
-	if outcome.Verdict == Accepted && !state.Final() {
-		state = i.awaitEnd(ctx, id, state)
-	}
+	state, outcome := i.state(ctx, id, endWait)
 	if state.Final() && i.firstTold(id) {
 		i.chronicle.write(i.log, "state_told", logrus.Fields{"job": id, "state": string(state), "log_age_ms": sinceMS(i.clock.Now(), i.work.heardAt())})
 	}
 	return state, outcome
 }
 
-// awaitEnd reads on for a moment, in case the job ends, and returns its newest
-// state. Nothing is waited for while the store is out of reach.
-func (i *Instance) awaitEnd(ctx context.Context, id string, state jobs.State) jobs.State {
-	ctx, cancel := context.WithTimeout(ctx, freshTimeout)
-	defer cancel()
-	until := time.Now().Add(endWait)
-	for !state.Final() && i.loaded() && i.work.inContact() {
-		left := time.Until(until)
-		if left < time.Millisecond || i.work.refresh(ctx, left) != nil {
-			break
-		}
-		if known, ok := i.lookUp(id); ok {
-			state = known
-		}
-	}
-	return state
-}
-
 // firstTold notes that a caller is told of a job's final state, and reports
 // whether none was before.
 func (i *Instance) firstTold(id string) bool {
@@ -171,10 +152,11 @@
 }
 
 // state looks a job up, here or, while the store is out of reach, through
-// another instance. A final state known here stands.
-func (i *Instance) state(ctx context.Context, id string) (jobs.State, Outcome) {
+// another instance. A final state known here stands; for one that the log brings
+// within wait it waits.
+func (i *Instance) state(ctx context.Context, id string, wait time.Duration) (jobs.State, Outcome) {
 	if i.loaded() && i.work.inContact() {
-		return i.ownState(ctx, id)
+		return i.ownState(ctx, id, wait)
 	}
 	known, ok := i.lookUp(id)
 	if ok && known.Final() {
@@ -197,8 +179,8 @@
 // placing instance wrote by now is read first. One that is not known here may
 // have been accepted elsewhere a moment ago, so the log is read up to now
 // before it is denied.
-func (i *Instance) ownState(ctx context.Context, id string) (jobs.State, Outcome) {
-	if state, ok := i.freshState(ctx, id); ok {
+func (i *Instance) ownState(ctx context.Context, id string, wait time.Duration) (jobs.State, Outcome) {
+	if state, ok := i.freshState(ctx, id, wait); ok {
 		return state, Outcome{Verdict: Accepted}
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
@@ -212,17 +194,28 @@
 	return "", Outcome{Verdict: NoSuchJob, Reason: "not in the log"}
 }
 
-// freshState looks a known job up.
-func (i *Instance) freshState(ctx context.Context, id string) (jobs.State, bool) {
+// freshState looks a known job up. Unless it has ended, the log is read until it
+// has or wait is over, once at least if what is known is not fresh.
+func (i *Instance) freshState(ctx context.Context, id string, wait time.Duration) (jobs.State, bool) {
 	state, ok := i.lookUp(id)
 	fresh := i.clock.Now().Sub(i.work.heardAt()) < freshEnough
-	if !ok || state.Final() || fresh {
+	if !ok || state.Final() || fresh && wait == 0 {
 		return state, ok
 	}
 	ctx, cancel := context.WithTimeout(ctx, freshTimeout)
 	defer cancel()
-	i.refreshTerm(ctx)
-	return i.lookUp(id)
+	until := time.Now().Add(wait)
+	for left := wait; ; left = time.Until(until) {
+		if err := i.work.refresh(ctx, max(0, left)); err != nil {
+			i.log.WithField("error", err.Error()).Debug("refresh_failed")
+			break
+		}
+		state, ok = i.lookUp(id)
+		if state.Final() || left < leastWait {
+			break
+		}
+	}
+	return state, ok
 }
 
 // Waiting counts the accepted jobs of a queue of which nothing has started.
