Tests of stalls and of room notice what they did not

Taken out by hand, the factor for slow workers and the bound of idle workers were not noticed by TestVerySlowRunGoesOn and TestRoomIsKeptClearOfWorkThatCanWait. A longer task, and the count of seats in place of their presence, notice them.

--- a/placing/headroom_test.go
+++ b/placing/headroom_test.go
@@ -135,15 +135,15 @@
 // work while half of the workers are free.
 func TestRoomIsKeptClearOfWorkThatCanWait(t *testing.T) {
 	for _, example := range []struct {
-		busy    int           // workers taken by others
-		since   time.Duration // since the last gang waited
-		spare   bool
-		allowed bool
+		busy  int           // of twelve workers, taken by others
+		since time.Duration // since the last gang waited
+		spare bool
+		seats int // of two on each worker
 	}{
-		{busy: 8, spare: true},
-		{busy: 8, spare: false, allowed: true},
-		{busy: 8, spare: true, since: time.Minute, allowed: true},
-		{busy: 5, spare: true, allowed: true},
+		{busy: 8, spare: true, seats: 0},
+		{busy: 8, spare: false, seats: 8},
+		{busy: 8, spare: true, since: time.Minute, seats: 8},
+		{busy: 5, spare: true, seats: 14},
 	} {
 		is := is.New(t)
 		e, now := loadedEngine(0)
@@ -159,9 +159,9 @@
 		e.gangDemand.see(12, now)
 		open := newView(nodes)
 		e.keepRoom(nil, open, now.Add(example.since))
-		e.Learn(&jobs.Job{Submission: testJob(hexID(99), 2, testStep(1, 1))}, now)
+		e.Learn(&jobs.Job{Submission: testJob(hexID(99), 2, testStep(24, 4))}, now)
 		unit := e.waiting(now)[0]
 		unit.patient = example.spare
-		is.Equal(open.fit(unit, true) != nil, example.allowed)
+		is.Equal(len(open.fit(unit, true)), example.seats)
 	}
 }
--- a/placing/stall_test.go
+++ b/placing/stall_test.go
@@ -56,13 +56,16 @@
 }
 
 // Work on a slow worker goes on: eight times slower than it was estimated to be,
-// by an estimate that is three times too short, it still shows progress.
+// by an estimate of 10 s that is three times too short, it makes no progress from
+// some reports to the next.
 func TestVerySlowRunGoesOn(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(1)
-	c.submit(testJob(hexID(1), 1, testStep(1, 8)))
+	slow := testJob(hexID(1), 1, testStep(1, 8))
+	slow.Steps[0].EstimateMS = 10_000
+	c.submit(slow)
 	c.steps(2)
-	whole := 8 * 3 * 4 * time.Second
+	whole := 8 * 3 * 10 * time.Second
 	_, stopped := c.stoppedWithin(time.Minute, hexID(1), func(passed time.Duration) map[string]int {
 		return map[string]int{hexID(1): int(100 * passed / whole)}
 	})
