--- a/placing/stall_test.go
+++ b/placing/stall_test.go
@@ -70,6 +70,9 @@
 		return map[string]int{hexID(1): int(100 * passed / whole)}
 	})
 	is.True(!stopped)
+	for _, node := range c.engine.nodeOrder {
+		is.True(!node.health.wary)
+	}
 }
 
 // The members of a gang wait for each other: until all are at work, none is held
