--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -30,7 +30,9 @@
 	// themselves: 0.08 and 0.25 measured the same.
 	mostKeptFromGangs = 0.15
 	// spareShare of the work that is left is the time to spare below which a job
-	// takes any room that it finds: estimates are off by half. At 1 the tasks that
+	// takes any room that it finds, as does one that is late already: estimates are
+	// off by half. Had late ones waited too, a kind of small tasks would have earned
+	// 0.27 of its worth on the heaviest of 30 days, in place of 0.41. At 1 the tasks that
 	// wait were late more often (0.83 to 0.87 of their worth for 0.90 to 0.95), at 2
 	// half of the gain was lost.
 	spareShare = 1.5
--- a/placing/headroom_test.go
+++ b/placing/headroom_test.go
@@ -165,3 +165,17 @@
 		is.Equal(len(open.fit(unit, true)), example.seats)
 	}
 }
+
+// A job that is late, or short of time, waits for nobody: its small worth would
+// be lost whole on a day on which the workers are never free.
+func TestLateWorkIsNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	e, now := loadedEngine(0)
+	e.Learn(&jobs.Job{Submission: testJob(hexID(1), 2, testStep(1, 1))}, now) // 4 s of work, due in 13 s
+	for _, example := range []struct {
+		after   time.Duration
+		patient bool
+	}{{0, true}, {2 * time.Second, true}, {4 * time.Second, false}, {10 * time.Second, false}, {20 * time.Second, false}} {
+		is.Equal(e.waiting(now.Add(example.after))[0].patient, example.patient)
+	}
+}
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -178,11 +178,7 @@
 	default:
 		made.tier = tierHopeless
 	}
-	limit := begin.Add(objective)
-	if !onTime {
-		limit = begin.Add(lateFactor * objective)
-	}
-	made.patient = made.tier != tierUrgent && limit.Sub(finish) > time.Duration(spareShare*float64(finish.Sub(now)))
+	made.patient = made.tier == tierOnTime && made.deadline.Sub(finish) > time.Duration(spareShare*float64(finish.Sub(now)))
 	made.density = e.density(job, occurrence)
 	made.guaranteed = made.tier == tierUrgent && e.guaranteed(job)
 	return made
