--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -31,10 +31,10 @@
 	mostKeptFromGangs = 0.15
 	// spareShare of the work that is left is the time to spare below which a job
 	// takes any room that it finds, as does one that is late already: estimates are
-	// off by half. Had late ones waited too, a kind of small tasks would have earned
-	// 0.27 of its worth on the heaviest of 30 days, in place of 0.41. At 1 the tasks that
-	// wait were late more often (0.83 to 0.87 of their worth for 0.90 to 0.95), at 2
-	// half of the gain was lost.
+	// off by half. At 1 the tasks that wait were late more often (0.83 to 0.87 of
+	// their worth for 0.90 to 0.95), at 2 half of the gain was lost. With late ones
+	// waiting too, small tasks earned 0.27 of their worth on the heaviest of 30 days
+	// in place of 0.41.
 	spareShare = 1.5
 	// idleShare of the workers in use is the least at which anything is kept clear:
 	// with half of them free there is room for all.
