Read as a newcomer: what runs and waits is counted apart from the decision

Cause: keepRoom both counted the load and decided on it; the free share of a worker and the share that work takes of it were computed twice; report and reportEarly passed the same refusal on.

Change: no behaviour. load counts, keepRoom decides; the free share follows from the share in use; reportFence serves both.

--- a/batch/writer.go
+++ b/batch/writer.go
@@ -137,12 +137,11 @@
 }
 
 func (w *fencedWriter) report(ctx context.Context, written group, err error) {
-	switch {
-	case err == nil:
+	if err == nil {
 		w.leader.events.Put(ctx, recorded{records: len(written.details)})
-	case errors.Is(err, ErrFenced):
-		w.leader.events.Put(ctx, fencedOff{})
+		return
 	}
+	w.reportFence(ctx, err)
 }
 
 // writeBeside writes early states and a renewal while a group is on its way,
@@ -153,12 +152,13 @@
 	}
 	w.leader.start(ctx, func(ctx context.Context) {
 		defer w.beside.Store(false)
-		w.reportEarly(ctx, w.writeStates(ctx, nil))
+		w.reportFence(ctx, w.writeStates(ctx, nil))
 	})
 }
 
-// reportEarly passes on that the store refused states that belong to no group.
-func (w *fencedWriter) reportEarly(ctx context.Context, err error) {
+// reportFence passes on that the store refused an append for a later term; other
+// errors mean that the term has ended here.
+func (w *fencedWriter) reportFence(ctx context.Context, err error) {
 	if errors.Is(err, ErrFenced) {
 		w.leader.events.Put(ctx, fencedOff{})
 	}
--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -87,44 +87,45 @@
 
 // unused is the share of a node that is free in every kind of resource.
 func (v *view) unused(node *node) float64 {
-	free, capacity := v.free[node.at], node.entry.Capacity
-	least := 1.0
-	if capacity.Accelerators > 0 {
-		least = min(least, share(free.Accelerators, capacity.Accelerators))
-	}
-	if capacity.MilliCores > 0 {
-		least = min(least, share(free.MilliCores, capacity.MilliCores))
-	}
-	if capacity.MemoryMB > 0 {
-		least = min(least, share(free.MemoryMB, capacity.MemoryMB))
-	}
-	return max(0, least)
+	capacity := node.entry.Capacity
+	return max(0, 1-part(capacity.Sub(v.free[node.at]), capacity))
 }
 
-// keepRoom closes nodes to work that can wait, as far as the recent demand of
-// what goes before it is above what of that runs now.
-func (e *Engine) keepRoom(units []*unit, open *view, now time.Time) {
-	var running, waiting [classes]float64
-	whole, used := 0.0, 0.0
+// load is what runs and what waits, by class, in workers' worth of capacity.
+type load struct {
+	running, waiting [classes]float64
+	used, whole      float64 // of all workers
+}
+
+func (l *load) asked(by class) float64 { return l.running[by] + l.waiting[by] }
+
+func (e *Engine) load(units []*unit, open *view) *load {
+	found := &load{whole: float64(len(e.nodeOrder))}
 	for _, node := range e.nodeOrder {
-		whole++
-		used += part(node.used, node.entry.Capacity)
+		found.used += part(node.used, node.entry.Capacity)
 		for _, run := range node.runs {
-			running[run.task.step.class()] += part(run.need(), node.entry.Capacity)
+			found.running[run.task.step.class()] += part(run.need(), node.entry.Capacity)
 		}
 	}
 	for _, unit := range units {
 		if unit.tier != tierHopeless && len(open.nodes) > 0 {
-			waiting[unit.step.class()] += float64(len(unit.tasks)) * part(unit.step.need(), open.nodes[0].entry.Capacity)
+			found.waiting[unit.step.class()] += float64(len(unit.tasks)) * part(unit.step.need(), open.nodes[0].entry.Capacity)
 		}
 	}
-	urgent := e.urgentDemand.see(running[classUrgent]+waiting[classUrgent], now) - running[classUrgent]
-	gangs := e.gangDemand.see(running[classGang]+waiting[classGang], now) - running[classGang]
-	if used < idleShare*whole {
+	return found
+}
+
+// keepRoom closes nodes to work that can wait, as far as the recent demand of
+// what goes before it is above what of that runs now.
+func (e *Engine) keepRoom(units []*unit, open *view, now time.Time) {
+	load := e.load(units, open)
+	urgent := e.urgentDemand.see(load.asked(classUrgent), now) - load.running[classUrgent]
+	gangs := e.gangDemand.see(load.asked(classGang), now) - load.running[classGang]
+	if load.used < idleShare*load.whole {
 		return
 	}
-	open.keep(classGang, min(urgent, mostKeptFromGangs*whole))
-	open.keep(classTask, min(urgent+gangs, mostKeptFromTasks*whole))
+	open.keep(classGang, min(urgent, mostKeptFromGangs*load.whole))
+	open.keep(classTask, min(urgent+gangs, mostKeptFromTasks*load.whole))
 }
 
 // keep closes the emptiest nodes of the emptiest racks to a class of work, until
