Links to workers are kept by instances that share them out

Cause: one holder drives a link to each worker. With 3,000 workers a holder that takes over needs 8 s to have heard of all (term won at 17.97, last first reports at 24.9), leases lapse meanwhile; 3,152 descriptors, 159 MB. Change: the decision stays with the holder; from 480 workers on, instances of the workers' zones keep shares of them, by weighted rendezvous hashing, in sessions with a grant that the holder renews.

--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -49,14 +49,14 @@
 }
 
 // choose returns addresses to ask, at random so that load spreads.
-func (h *helpers) choose(known map[string]string, self string) []string {
+func (h *helpers) choose(known map[string]jobs.Instance, self string) []string {
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	now := h.clock.Now()
 	var list []string
-	for name, address := range known {
-		if name != self && address != "" && !now.Before(h.restsTo[address]) {
-			list = append(list, address)
+	for name, instance := range known {
+		if name != self && instance.Address != "" && !now.Before(h.restsTo[instance.Address]) {
+			list = append(list, instance.Address)
 		}
 	}
 	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
@@ -211,7 +211,12 @@
 
 // register writes where this instance answers others, once.
 func (i *Instance) register(ctx context.Context) {
-	record := jobs.InstanceRecord(i.settings.Name, i.settings.RelayAddress)
+	record, err := jobs.InstanceRecord(i.settings.Name, jobs.Instance{
+		Address: i.settings.RelayAddress, Zone: i.settings.Zone, CPUShare: i.settings.CPUShare})
+	if err != nil {
+		i.log.WithField("error", err.Error()).Error("instance_record")
+		return
+	}
 	for i.settings.RelayAddress != "" && ctx.Err() == nil {
 		if i.loaded() && i.committer(record).write(ctx, record) == nil {
 			return
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -66,6 +66,7 @@
 	foldLock      sync.Mutex
 	committers    []*committer // by part, from the first for callers' records on
 	helpers       *helpers
+	keepings      keepings // sessions in which this instance drives workers for the holder
 	chronicle     *chronicle
 
 	draining      atomic.Bool
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -46,11 +46,8 @@
 	engine   *placing.Engine
 	epoch    int64
 	events   *ring.Ring[event]
-	links    map[string]*link
+	drivers  *drivers
 	writer   *fencedWriter
-	orders   chan struct{}              // one for each order under way
-	starting map[startKey]chan struct{} // closed to withdraw the start
-	patience patience                   // with orders
 	deposed  bool
 	openedAt time.Time                      // when the term was opened to others; zero before
 	entries  map[string]placing.WorkerEntry // guarded by the list follower's lock
@@ -70,14 +67,12 @@
 		engine:   placing.New(i.limits(), term.Epoch, i.clock.WallMS),
 		epoch:    term.Epoch,
 		events:   ring.New[event](eventRing),
-		orders:   make(chan struct{}, orderSlots),
-		patience: patience{least: orderTimeout},
-		links:    map[string]*link{},
-		starting: map[startKey]chan struct{}{},
 		entries:  map[string]placing.WorkerEntry{},
 		ctx:      ctx,
 	}
+	l.drivers = newDrivers(l)
 	l.writer = newFencedWriter(l, term, sequence)
+	i.keepings.supersede(term.Epoch)
 	l.log.WithField("handed_over", handedOver).Info("term_won")
 	i.leading.Store(true)
 	i.rouse()
@@ -221,9 +216,7 @@
 	}
 	l.listed.lock.Unlock()
 	l.engine.List(entries, now)
-	for _, entry := range entries {
-		l.watch(entry)
-	}
+	l.drivers.list(entries)
 }
 
 func (l *leader) loop(ctx context.Context) {
@@ -244,6 +237,7 @@
 		case <-timer.C:
 		}
 		l.drainEvents()
+		l.drivers.divide(l.clock.Now())
 		l.takeChanges()
 		if !l.termStands() {
 			return
@@ -339,26 +333,22 @@
 		l.writer.offerEarly(plan.EarlyStates)
 	}
 	for _, stop := range plan.Stops {
-		l.sendStop(ctx, stop)
+		l.drivers.stop(stop)
 	}
 	for _, order := range plan.Starts {
-		l.sendStart(ctx, order)
+		l.drivers.start(order)
 	}
 	for _, pace := range plan.Paces {
-		if link := l.links[pace.Worker]; link != nil {
-			l.start(ctx, func(ctx context.Context) { link.pace(ctx, pace) })
-		}
+		l.drivers.pace(pace)
 	}
 	if plan.Ask != nil {
 		l.start(ctx, func(ctx context.Context) { l.advise(ctx, *plan.Ask) })
 	}
 	for worker, number := range plan.Acks {
-		if link := l.links[worker]; link != nil {
-			link.acknowledge(number)
-		}
+		l.drivers.acknowledge(worker, number)
 	}
 	for _, worker := range plan.Forget {
-		l.forget(worker)
+		l.drivers.forget(worker)
 	}
 	if len(plan.Expired) > 0 {
 		l.start(ctx, func(ctx context.Context) { l.expire(ctx, plan.Expired) })
--- a/batch/link.go
+++ b/batch/link.go
@@ -28,12 +28,14 @@
 	leaseLow = 3 * time.Second
 )
 
-// link is the connection of the holder of the term to one worker: it renews
-// leases, brings ends and passes orders on.
+// link is the connection to one worker: it renews leases, brings ends and passes
+// orders on.
 type link struct {
-	leader *leader
-	cancel context.CancelFunc
-	wake   chan struct{} // an acknowledgement has come
+	host    *linkHost
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup // its hold and its orders
+	wake    chan struct{}  // an acknowledgement has come
 
 	lock      sync.Mutex
 	entry     placing.WorkerEntry
@@ -43,39 +45,27 @@
 	untilMS   int64     // lease granted, on the worker's clock
 	lapseAt   time.Time // when it has lapsed for certain
 	answering bool
-	holdSent  time.Time               // of the newest hold
-	holdEnd   context.CancelCauseFunc // gives that hold up
+	holdSent  time.Time                  // of the newest hold
+	holdEnd   context.CancelCauseFunc    // gives that hold up
+	waiting   map[startKey]chan struct{} // starts under way, closed to withdraw one
 }
 
-// errLook ends a hold in favour of a newer one.
-var errLook = eris.New("a newer look at the worker is needed")
-
-// watch opens a link to a worker, or tells the one there is of a new entry.
-func (l *leader) watch(entry placing.WorkerEntry) {
-	if known := l.links[entry.ID]; known != nil {
-		known.lock.Lock()
-		known.entry = entry
-		known.lock.Unlock()
-		return
-	}
-	ctx, cancel := context.WithCancel(l.ctx)
-	made := &link{leader: l, cancel: cancel, wake: make(chan struct{}, 1), entry: entry}
-	l.links[entry.ID] = made
-	l.running.Add(1)
-	go func() {
-		defer l.running.Done()
-		made.run(ctx)
-	}()
+func newLink(host *linkHost, entry placing.WorkerEntry) *link {
+	return &link{host: host, wake: make(chan struct{}, 1), entry: entry, waiting: map[startKey]chan struct{}{}}
 }
 
-func (l *leader) forget(worker string) {
-	if known := l.links[worker]; known != nil {
-		known.cancel()
-		delete(l.links, worker)
-		l.instance.workers.Forget(known.entry)
-	}
+func (k *link) setEntry(entry placing.WorkerEntry) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	k.entry = entry
 }
 
+// errLook ends a hold in favour of a newer one.
+var errLook = eris.New("a newer look at the worker is needed")
+
+// errNotGranted says that this instance may not give orders any more.
+var errNotGranted = eris.New("the holder of the term has not been heard of")
+
 // run holds the worker until ctx ends.
 func (k *link) run(ctx context.Context) {
 	pause := holdPauseFirst
@@ -97,7 +87,7 @@
 			continue
 		}
 		pause = holdPauseFirst
-		k.leader.events.Put(ctx, holdAnswered{worker: k.worker().ID, report: report, sent: sent, lapseAt: k.lapse()})
+		k.host.report(ctx, holdAnswered{worker: k.worker().ID, report: report, sent: sent, lapseAt: k.lapse()})
 		wait = k.afterReport(ctx, report, wait)
 	}
 }
@@ -124,14 +114,17 @@
 }
 
 func (k *link) hold(ctx context.Context, wait time.Duration) (HoldReport, time.Time, error) {
-	sent := k.leader.clock.Now()
-	order := HoldOrder{UntilMS: k.extend(sent), Epoch: k.leader.epoch, Ack: k.acknowledged(), Wait: wait}
+	if !k.host.mayOrder() {
+		return HoldReport{}, time.Time{}, errNotGranted
+	}
+	sent := k.host.clock.Now()
+	order := HoldOrder{UntilMS: k.extend(sent), Epoch: k.host.epoch, Ack: k.acknowledged(), Wait: wait}
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	k.holding(sent, end)
 	call, cancel := context.WithTimeout(ctx, wait+holdSlack)
 	defer cancel()
-	report, err := k.leader.instance.workers.Hold(call, k.worker(), order)
+	report, err := k.host.workers.Hold(call, k.worker(), order)
 	if err != nil && errors.Is(context.Cause(ctx), errLook) {
 		return report, sent, errLook
 	}
@@ -168,7 +161,7 @@
 	if k.clockMS == 0 || !k.answering {
 		return k.untilMS
 	}
-	lease := k.leader.instance.settings.Lease
+	lease := k.host.lease
 	k.untilMS = max(k.untilMS, k.clockMS+now.Sub(k.clockAt).Milliseconds()+lease.Milliseconds())
 	k.lapseAt = now.Add(placing.LeaseLapse(lease))
 	return k.untilMS
@@ -190,7 +183,7 @@
 	k.lock.Lock()
 	defer k.lock.Unlock()
 	k.clockMS = clockMS
-	k.clockAt = k.leader.clock.Now()
+	k.clockAt = k.host.clock.Now()
 	k.answering = true
 }
 
@@ -200,11 +193,11 @@
 	k.answering = false
 	k.lock.Unlock()
 	if was {
-		k.leader.log.WithField("worker", k.worker().ID).WithField("error", err.Error()).Info("worker_silent")
+		k.host.log.WithField("worker", k.worker().ID).WithField("error", err.Error()).Info("worker_silent")
 	}
 	var refused *OrderError
 	if !errors.As(err, &refused) {
-		k.leader.events.Put(ctx, unreachable{worker: k.worker().ID, lapseAt: k.lapse()})
+		k.host.report(ctx, unreachable{worker: k.worker().ID, lapseAt: k.lapse()})
 		return
 	}
 	k.refused(ctx, refused)
@@ -214,9 +207,9 @@
 func (k *link) refused(ctx context.Context, refused *OrderError) {
 	switch refused.Refusal {
 	case RefusedFence:
-		k.leader.events.Put(ctx, fencedOff{})
+		k.host.report(ctx, fencedOff{})
 	case RefusedReborn:
-		k.leader.events.Put(ctx, reborn{worker: k.worker().ID})
+		k.host.report(ctx, reborn{worker: k.worker().ID})
 	}
 }
 
@@ -257,7 +250,7 @@
 }
 
 func (h holdAnswered) apply(l *leader, now time.Time) {
-	l.engine.Report(h.worker, h.sent, h.report.Running, h.report.Ended, h.lapseAt, now)
+	l.engine.Report(h.worker, h.sent, h.report.Running, h.report.Ended, l.drivers.lapse(h.worker, h.lapseAt), now)
 }
 
 // unreachable says that a hold was not answered.
@@ -266,7 +259,10 @@
 	lapseAt time.Time
 }
 
-func (u unreachable) apply(l *leader, _ time.Time) { l.engine.Unreachable(u.worker, u.lapseAt) }
+func (u unreachable) apply(l *leader, now time.Time) {
+	l.engine.Unreachable(u.worker, l.drivers.lapse(u.worker, u.lapseAt))
+	l.drivers.silent(u.worker, now)
+}
 
 // reborn says that another life answers at a worker's address.
 type reborn struct {
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -13,6 +13,8 @@
 	appendTime    metrics.Histogram // of the holder's appends
 	submitTime    metrics.Histogram // from a submission's arrival to its answer
 	startTime     metrics.Histogram // of orders to start
+	sessions      metrics.Gauge     // instances that keep workers for this one
+	ownWorkers    metrics.Gauge     // workers that the holder drives itself
 }
 
 func newInstruments(registry metrics.Registry) *instruments {
@@ -21,6 +23,8 @@
 		leading:       metrics.NewRegisteredGauge("term.leading", registry),
 		configVersion: metrics.NewRegisteredGauge("configuration.version", registry),
 	}
+	made.sessions = metrics.NewRegisteredGauge("sharing.sessions", registry)
+	made.ownWorkers = metrics.NewRegisteredGauge("sharing.own_workers", registry)
 	made.appendTime = made.histogram("store.append_us")
 	made.submitTime = made.histogram("calls.submit_us")
 	made.startTime = made.histogram("workers.start_us")
--- a/batch/order.go
+++ b/batch/order.go
@@ -35,32 +35,37 @@
 
 // startRun sends a start and brings its answer to the placing duty. Once
 // withdrawn is closed no further try is sent: on a slow instance one may wait
-// for a slot until its job was cancelled long ago.
-func (k *link) startRun(ctx context.Context, order placing.Start, withdrawn <-chan struct{}) {
-	sent := k.leader.clock.Now()
-	open, err := k.send(ctx, withdrawn, func(ctx context.Context) error {
-		_, err := k.leader.instance.workers.Start(ctx, k.worker(), StartOrder{
+// for a slot until its job was cancelled long ago. open says that a try may be
+// under way from elsewhere.
+func (k *link) startRun(ctx context.Context, order placing.Start, open bool, withdrawn <-chan struct{}) {
+	defer k.started(order)
+	sent := k.host.clock.Now()
+	opened, err := k.send(ctx, withdrawn, func(ctx context.Context) error {
+		_, err := k.host.workers.Start(ctx, k.worker(), StartOrder{
 			Task:       order.Task,
 			Run:        order.Run,
 			Spec:       order.Spec,
 			Checkpoint: order.Checkpoint,
 			Ticket:     order.Ticket,
-			UntilMS:    k.leaseForStart(k.leader.clock.Now()),
-			Epoch:      k.leader.epoch,
+			UntilMS:    k.leaseForStart(k.host.clock.Now()),
+			Epoch:      k.host.epoch,
 		})
 		return err
 	})
-	result := startResult(open, err)
-	k.leader.instance.metrics.startTime.Update(k.leader.clock.Now().Sub(sent).Microseconds())
+	if ctx.Err() != nil {
+		return // who drives the worker from now on sends it again
+	}
+	result := startResult(open || opened, err)
+	k.host.startTime.Update(k.host.clock.Now().Sub(sent).Microseconds())
 	if err != nil {
-		k.leader.log.WithField("job", order.Task.Job).WithField("task", order.Task.String()).WithField("run", order.Run).
+		k.host.log.WithField("job", order.Task.Job).WithField("task", order.Task.String()).WithField("run", order.Run).
 			WithField("worker", order.Worker).WithField("error", err.Error()).Info("start_failed")
 	}
 	var refused *OrderError
 	if errors.As(err, &refused) {
 		k.refused(ctx, refused)
 	}
-	k.leader.events.Put(ctx, startAnswered{worker: order.Worker, task: order.Task, run: order.Run, result: result})
+	k.host.report(ctx, startAnswered{worker: order.Worker, task: order.Task, run: order.Run, result: result})
 }
 
 // send gives an order until it is answered or the tries are used up. open says
@@ -70,7 +75,7 @@
 	for range orderTries {
 		err = k.try(ctx, withdrawn, order)
 		var refused *OrderError
-		if err == nil || errors.As(err, &refused) || errors.Is(err, errWithdrawn) || ctx.Err() != nil {
+		if err == nil || errors.As(err, &refused) || errors.Is(err, errWithdrawn) || errors.Is(err, errNotGranted) || ctx.Err() != nil {
 			return open, err
 		}
 		open = true
@@ -80,24 +85,27 @@
 
 func (k *link) try(ctx context.Context, withdrawn <-chan struct{}, order func(context.Context) error) error {
 	select {
-	case k.leader.orders <- struct{}{}:
+	case k.host.orders <- struct{}{}:
 	case <-withdrawn:
 		return errWithdrawn
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	defer func() { <-k.leader.orders }()
+	defer func() { <-k.host.orders }()
 	select {
 	case <-withdrawn:
 		return errWithdrawn
 	default:
 	}
-	ctx, cancel := context.WithTimeout(ctx, k.leader.patience.usualLimit())
+	if !k.host.mayOrder() {
+		return errNotGranted
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.host.patience.usualLimit())
 	defer cancel()
-	sent := k.leader.clock.Now()
+	sent := k.host.clock.Now()
 	err := order(ctx)
 	if err == nil {
-		k.leader.patience.answered(k.leader.clock.Now().Sub(sent))
+		k.host.patience.answered(k.host.clock.Now().Sub(sent))
 	}
 	return err
 }
@@ -129,13 +137,13 @@
 // stop sends a stop; one that is not answered comes again from the engine.
 func (k *link) stop(ctx context.Context, order placing.Stop) {
 	_, err := k.send(ctx, nil, func(ctx context.Context) error {
-		_, err := k.leader.instance.workers.Stop(ctx, k.worker(), StopOrder{Task: order.Task, Run: order.Run, Epoch: k.leader.epoch})
+		_, err := k.host.workers.Stop(ctx, k.worker(), StopOrder{Task: order.Task, Run: order.Run, Epoch: k.host.epoch})
 		return err
 	})
 	if err == nil {
-		answered := k.leader.clock.Now()
-		k.leader.events.Put(ctx, stopAnswered{worker: order.Worker, task: order.Task, run: order.Run})
-		logstream.Sleep(ctx, k.leader.instance.settings.StopWithin+lookSlack)
+		answered := k.host.clock.Now()
+		k.host.report(ctx, stopAnswered{worker: order.Worker, task: order.Task, run: order.Run})
+		logstream.Sleep(ctx, k.host.stopWithin+lookSlack)
 		k.look(answered)
 		return
 	}
@@ -148,12 +156,12 @@
 // pace sends a pace; one that is not answered comes again from the engine.
 func (k *link) pace(ctx context.Context, order placing.Pace) {
 	_, err := k.send(ctx, nil, func(ctx context.Context) error {
-		return k.leader.instance.workers.Pace(ctx, k.worker(), PaceOrder{Task: order.Task, Run: order.Run, Percent: order.Percent, Epoch: k.leader.epoch})
+		return k.host.workers.Pace(ctx, k.worker(), PaceOrder{Task: order.Task, Run: order.Run, Percent: order.Percent, Epoch: k.host.epoch})
 	})
 	var refused *OrderError
 	switch {
 	case err == nil:
-		k.leader.events.Put(ctx, paceAnswered{pace: order})
+		k.host.report(ctx, paceAnswered{pace: order})
 	case errors.As(err, &refused):
 		k.refused(ctx, refused)
 	}
@@ -166,35 +174,34 @@
 
 func (p paceAnswered) apply(l *leader, _ time.Time) { l.engine.PaceAnswered(p.pace) }
 
-// startKey names a start.
+// startKey names a start at a worker.
 type startKey struct {
-	worker string
-	task   jobs.TaskKey
-	run    int
+	task jobs.TaskKey
+	run  int
 }
 
-// sendStart has a start sent, unless it is withdrawn before.
-func (l *leader) sendStart(ctx context.Context, order placing.Start) {
-	link := l.links[order.Worker]
-	if link == nil {
-		l.engine.StartAnswered(order.Worker, order.Task, order.Run, placing.StartRefused, l.clock.Now())
-		return
-	}
+// starting notes a start under way; the channel is closed to withdraw it.
+func (k *link) starting(order placing.Start) <-chan struct{} {
+	k.lock.Lock()
+	defer k.lock.Unlock()
 	withdrawn := make(chan struct{})
-	l.starting[startKey{worker: order.Worker, task: order.Task, run: order.Run}] = withdrawn
-	l.start(ctx, func(ctx context.Context) { link.startRun(ctx, order, withdrawn) })
+	k.waiting[startKey{task: order.Task, run: order.Run}] = withdrawn
+	return withdrawn
 }
 
-// sendStop has a stop sent. The start of the same run, if it still waits, is
-// withdrawn.
-func (l *leader) sendStop(ctx context.Context, order placing.Stop) {
-	key := startKey{worker: order.Worker, task: order.Task, run: order.Run}
-	if withdrawn := l.starting[key]; withdrawn != nil {
+// started says that a start is not under way any more.
+func (k *link) started(order placing.Start) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	delete(k.waiting, startKey{task: order.Task, run: order.Run})
+}
+
+func (k *link) withdraw(key startKey) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	if withdrawn := k.waiting[key]; withdrawn != nil {
 		close(withdrawn)
-		delete(l.starting, key)
-	}
-	if link := l.links[order.Worker]; link != nil {
-		l.start(ctx, func(ctx context.Context) { link.stop(ctx, order) })
+		delete(k.waiting, key)
 	}
 }
 
@@ -207,7 +214,7 @@
 }
 
 func (s startAnswered) apply(l *leader, now time.Time) {
-	delete(l.starting, startKey{worker: s.worker, task: s.task, run: s.run})
+	l.drivers.answered(s.worker, startKey{task: s.task, run: s.run})
 	l.engine.StartAnswered(s.worker, s.task, s.run, s.result, now)
 }
 
--- a/batch/order_test.go
+++ b/batch/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,14 +62,16 @@
 	return func() error { return &OrderError{Refusal: refusal} }
 }
 
-func scriptedLink(answers ...func() error) (*link, *scriptedWorkers) {
-	workers := &scriptedWorkers{answers: answers}
+func scriptedLink(script ...func() error) (*link, *scriptedWorkers, *ring.Ring[event]) {
+	workers := &scriptedWorkers{answers: script}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	instance := &Instance{workers: workers, metrics: newInstruments(metrics.NewRegistry())}
-	l := &leader{instance: instance, log: logrus.NewEntry(logger), clock: NewClock(), events: ring.New[event](16),
-		orders: make(chan struct{}, orderSlots), starting: map[startKey]chan struct{}{}, links: map[string]*link{}, patience: patience{least: orderTimeout}}
-	return &link{leader: l, entry: placing.WorkerEntry{ID: "w"}}, workers
+	instance.clock = NewClock()
+	host := instance.newLinkHost(1, logrus.NewEntry(logger))
+	answers := ring.New[event](16)
+	host.report = func(ctx context.Context, answer event) { answers.Put(ctx, answer) }
+	return newLink(host, placing.WorkerEntry{ID: "w"}), workers, answers
 }
 
 // A start without an answer is sent again: an order may be lost or come late,
@@ -91,9 +94,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				link, workers := scriptedLink(c.answers...)
-				link.startRun(t.Context(), placing.Start{Worker: "w", Run: 1}, nil)
-				answer, ok := link.leader.events.TryTake()
+				link, workers, answers := scriptedLink(c.answers...)
+				link.startRun(t.Context(), placing.Start{Worker: "w", Run: 1}, false, nil)
+				answer, ok := answers.TryTake()
 				is.True(ok)
 				is.Equal(answer.(startAnswered).result, c.result)
 				is.Equal(workers.calls, c.calls)
@@ -106,7 +109,7 @@
 // over, and may have been lost: it is given up for a new one.
 func TestOlderHoldGivesWayToALook(t *testing.T) {
 	is := is.New(t)
-	link, _ := scriptedLink(taken)
+	link, _, _ := scriptedLink(taken)
 	sent := time.Unix(100, 0)
 	ctx, end := context.WithCancelCause(t.Context())
 	link.holding(sent, end)
@@ -154,23 +157,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
-		link, workers := scriptedLink(taken)
-		l := link.leader
-		l.links["w"] = link
+		link, workers, answers := scriptedLink(taken)
+		link.ctx = ctx
+		links := newLinkSet(ctx, link.host, &sync.WaitGroup{})
+		links.links["w"] = link
 		for range orderSlots {
-			l.orders <- struct{}{} // all are in use
+			link.host.orders <- struct{}{} // all are in use
 		}
 		task := jobs.TaskKey{Job: "a1"}
-		l.sendStart(ctx, placing.Start{Task: task, Worker: "w", Run: 1})
+		links.start(placing.Start{Task: task, Worker: "w", Run: 1}, false)
 		synctest.Wait()
-		l.sendStop(ctx, placing.Stop{Task: task, Worker: "w", Run: 1})
+		links.stop(placing.Stop{Task: task, Worker: "w", Run: 1})
 		synctest.Wait()
-		answer, ok := l.events.TryTake()
+		answer, ok := answers.TryTake()
 		is.True(ok)
 		is.Equal(answer.(startAnswered).result, placing.StartRefused)
 		is.Equal(workers.calls, 0)
 		is.Equal(startResult(true, errWithdrawn), placing.StartUnknown)
 		cancel()
-		l.running.Wait()
+		links.running.Wait()
 	})
 }
--- a/batch/settings.go
+++ b/batch/settings.go
@@ -6,6 +6,7 @@
 // bounds. Names and addresses come from the platform's file.
 type Settings struct {
 	Name         string
+	Zone         string        // availability zone; empty if unknown
 	CPUShare     float64       // of a core that the machine gives; 0 if unknown
 	Lease        time.Duration // longest lease a worker grants
 	StopWithin   time.Duration // longest time a stop takes
--- a/command/front.go
+++ b/command/front.go
@@ -153,7 +153,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.endRelay = cancel
-	go relay.Serve(ctx, listener, p.instance.Relayed)
+	go relay.Serve(ctx, listener, p.instance.Relayed, p.instance.Keep)
 	return nil
 }
 
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -48,10 +48,16 @@
 // TermRecord returns the record that claims, renews or hands over the term.
 func TermRecord(t Term) (Record, error) { return encode(termKey, t) }
 
-// InstanceRecord returns the record that tells where an instance answers the
-// calls of others, as IP:PORT.
-func InstanceRecord(name, address string) Record {
-	return Record{Key: instancePrefix + name, Value: []byte(address)}
+// Instance is what an instance says of itself to the others.
+type Instance struct {
+	Address  string  `json:"a"`           // IP:PORT at which it answers their calls
+	Zone     string  `json:"z,omitempty"` // its availability zone
+	CPUShare float64 `json:"c,omitempty"` // of a core
+}
+
+// InstanceRecord returns the record by which an instance makes itself known.
+func InstanceRecord(name string, instance Instance) (Record, error) {
+	return encode(instancePrefix+name, instance)
 }
 
 // StateRecord returns the record of a job's state alone, which every instance
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -45,15 +45,14 @@
 	jobs      map[string]*Job
 	term      Term
 	mark      string
-	instances map[string]string
+	instances map[string]Instance
 }
 
 // NewTable returns an empty fold.
-func NewTable() *Table { return &Table{jobs: map[string]*Job{}, instances: map[string]string{}} }
+func NewTable() *Table { return &Table{jobs: map[string]*Job{}, instances: map[string]Instance{}} }
 
-// Instances returns the addresses at which instances said to answer others, by
-// name. Some may be gone.
-func (t *Table) Instances() map[string]string { return maps.Clone(t.instances) }
+// Instances returns what instances said of themselves, by name. Some may be gone.
+func (t *Table) Instances() map[string]Instance { return maps.Clone(t.instances) }
 
 // Term returns the newest term.
 func (t *Table) Term() Term { return t.term }
@@ -78,7 +77,11 @@
 		return job != nil && job.State().Final()
 	}
 	name, ok := subject(record.Key, instancePrefix)
-	return ok && t.instances[name] == string(record.Value)
+	if !ok {
+		return false
+	}
+	instance, err := decode[Instance](record)
+	return err == nil && t.instances[name] == *instance
 }
 
 // Len is the number of submitted jobs that are remembered.
@@ -128,8 +131,8 @@
 }
 
 // Apply folds one record of a part. Offsets count within a part; all progress
-// lies in one, and so do all states. An error says that the record's value is not one of ours; the
-// fold is then as before.
+// lies in one, and so do all states. An error says that the record's value is not
+// one of ours; the fold is then as before.
 func (t *Table) Apply(record Record, part int, offset int64) (Change, error) {
 	if record.Key == termKey {
 		return t.applyTerm(record)
@@ -139,8 +142,7 @@
 		return Change{}, nil
 	}
 	if name, ok := subject(record.Key, instancePrefix); ok {
-		t.instances[name] = string(record.Value)
-		return Change{}, nil
+		return Change{}, t.applyInstance(name, record)
 	}
 	if id, ok := subject(record.Key, submissionPrefix); ok {
 		return t.applySubmission(id, record, part)
@@ -157,6 +159,15 @@
 	return Change{}, nil
 }
 
+func (t *Table) applyInstance(name string, record Record) error {
+	instance, err := decode[Instance](record)
+	if err != nil {
+		return err
+	}
+	t.instances[name] = *instance
+	return nil
+}
+
 func (t *Table) applyTerm(record Record) (Change, error) {
 	if len(record.Value) == 0 {
 		return Change{}, nil
--- a/placing/worker.go
+++ b/placing/worker.go
@@ -14,6 +14,7 @@
 	Pool      string
 	Kind      string // label of what it is
 	Rack      string
+	Zone      string // availability zone; empty if unknown
 	Labels    []string
 	Capacity  jobs.Resources
 	Leaving   bool
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,10 +1,10 @@
 // Package relay owns the calls between instances: yamux sessions that are
 // opened when a call needs one, one stream a call, protobuf messages. Nothing
-// is agreed here; an instance that has lost the store asks one that has not.
+// is agreed here; an instance that has lost the store asks one that has not, and
+// the one that places has others drive links to workers for it.
 package relay
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -14,14 +14,14 @@
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/teaselcleat/teaselcleat/relay/relaypb"
 )
 
 const (
-	// maxMessageBytes covers a record of a job with its spec.
-	maxMessageBytes = 256 << 10
+	// maxMessageBytes covers a record of a job with its spec, and what the workers
+	// of one share may report at once: 500 ends of 100 bytes for each of 64.
+	maxMessageBytes = 4 << 20
 	// handleTimeout bounds a call at the instance that is asked; who asks waits
 	// for less.
 	handleTimeout = 3 * time.Second
@@ -36,6 +36,9 @@
 // Handler answers a call.
 type Handler func(ctx context.Context, call *relaypb.Call) *relaypb.Answer
 
+// KeepHandler serves a session that a Keep call opens, until it returns.
+type KeepHandler func(ctx context.Context, keep *relaypb.Keep, stream *Stream)
+
 func sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.LogOutput = io.Discard
@@ -45,7 +48,9 @@
 }
 
 // Serve accepts sessions until ctx ends; it is a duty.
-func Serve(ctx context.Context, listener net.Listener, handler Handler) {
+//
+// keep may be nil: calls that open a session are then cut.
+func Serve(ctx context.Context, listener net.Listener, handler Handler, keep KeepHandler) {
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
 	var open sync.WaitGroup
@@ -58,12 +63,12 @@
 		open.Add(1)
 		go func() {
 			defer open.Done()
-			serveSession(ctx, connection, handler)
+			serveSession(ctx, connection, handler, keep)
 		}()
 	}
 }
 
-func serveSession(ctx context.Context, connection net.Conn, handler Handler) {
+func serveSession(ctx context.Context, connection net.Conn, handler Handler, keep KeepHandler) {
 	session, err := yamux.Server(connection, sessionConfig())
 	if err != nil {
 		connection.Close()
@@ -77,28 +82,30 @@
 		if err != nil {
 			return
 		}
-		go serveStream(ctx, stream, handler)
+		go serveStream(ctx, stream, handler, keep)
 	}
 }
 
-func serveStream(ctx context.Context, stream net.Conn, handler Handler) {
+func serveStream(ctx context.Context, conn net.Conn, handler Handler, keep KeepHandler) {
+	stream := newStream(conn)
 	defer stream.Close()
-	ctx, cancel := context.WithTimeout(ctx, handleTimeout)
-	defer cancel()
-	if err := stream.SetDeadline(time.Now().Add(handleTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(handleTimeout)); err != nil {
 		return
 	}
 	call := &relaypb.Call{}
-	if err := readMessage(stream, call); err != nil {
+	if err := stream.Receive(call); err != nil {
+		return
+	}
+	if opened := call.GetKeep(); opened != nil {
+		if err := conn.SetDeadline(time.Time{}); err == nil && keep != nil {
+			keep(ctx, opened, stream)
+		}
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, handleTimeout)
+	defer cancel()
 	// A caller that has gone does not read the answer.
-	_, _ = protodelim.MarshalTo(stream, handler(ctx, call))
-}
-
-func readMessage(stream net.Conn, message proto.Message) error {
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	return options.UnmarshalFrom(bufio.NewReaderSize(stream, streamBuffer), message)
+	_, _ = protodelim.MarshalTo(conn, handler(ctx, call))
 }
 
 // Client calls other instances. It is safe for concurrent use.
@@ -138,7 +145,7 @@
 		return nil, eris.Wrap(err, "send call")
 	}
 	answer := &relaypb.Answer{}
-	if err := readMessage(stream, answer); err != nil {
+	if err := newStream(stream).Receive(answer); err != nil {
 		c.drop(address, session)
 		return nil, eris.Wrap(err, "read answer")
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,7 +18,7 @@
 	defer cancel()
 	go Serve(ctx, listener, func(_ context.Context, call *relaypb.Call) *relaypb.Answer {
 		return &relaypb.Answer{Looked: true, State: call.GetLook().GetJob() + "!"}
-	})
+	}, nil)
 	client := NewClient()
 	for _, id := range []string{"a", "b", "c"} {
 		answer, err := client.Call(ctx, listener.Addr().String(), &relaypb.Call{Body: &relaypb.Call_Look{Look: &relaypb.Look{Job: id}}})
