Tests of shared links under faults of keepers, workers and holders; sharing is told

In virtual time: an instance that keeps workers is killed, frozen, frozen for a while, drains, is cut from its workers; all of them are lost at once; a worker that nobody reaches; the next holder; a full queue. The status of an instance says what it keeps, and the holder's who keeps what.

--- a/batch/clock.go
+++ b/batch/clock.go
@@ -11,15 +11,16 @@
 type Clock struct {
 	wallStart time.Time // time of day at the start, kept as jumps must not move due times
 	start     time.Time
+	steady    func() time.Time
 }
 
 // NewClock returns a clock that takes its time of day from now.
 func NewClock() *Clock {
-	return &Clock{wallStart: time.Now().Round(0), start: steadyNow()}
+	return &Clock{wallStart: time.Now().Round(0), start: steadyNow(), steady: steadyNow}
 }
 
 // Now is the steady time.
-func (c *Clock) Now() time.Time { return steadyNow() }
+func (c *Clock) Now() time.Time { return c.steady() }
 
 // WallMS is the time of day, in milliseconds since 1970, at a steady time. It
 // follows the time of day at the process's start, not later jumps of it.
--- a/batch/division.go
+++ b/batch/division.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/teaselcleat/teaselcleat/relay/relaypb"
 	"github.com/teaselcleat/teaselcleat/sharing"
 )
 
@@ -71,21 +72,25 @@
 		if d.sessions[name] == nil && d.opening[name].IsZero() {
 			missing--
 			d.opening[name] = now
-			d.open(opening{name: name, address: instances[name].Address, keep: d.keep()})
+			d.open(name, instances[name].Address)
 		}
 	}
 }
 
-func (d *drivers) open(to opening) {
+// open connects to an instance. The session counts once that has spoken.
+func (d *drivers) open(name, address string) {
 	l := d.leader
+	keep := &relaypb.Keep{Epoch: l.epoch, Holder: l.instance.settings.Name}
 	events := func(ctx context.Context, next event) { l.events.Put(ctx, next) }
 	l.start(l.ctx, func(ctx context.Context) {
-		s, err := openSession(ctx, to, l.clock, events)
+		dial, cancel := context.WithTimeout(ctx, openTimeout)
+		defer cancel()
+		stream, err := d.dial(dial, address, keep)
 		if err != nil {
-			l.events.Put(ctx, sessionFailed{name: to.name, reason: err.Error()})
+			events(ctx, sessionFailed{name: name, reason: err.Error()})
 			return
 		}
-		s.run()
+		newSession(ctx, name, stream, l.clock, events).run()
 	})
 }
 
@@ -164,15 +169,22 @@
 	})
 }
 
-// count brings the gauges up to date.
+// count says how the workers are reached now.
 func (d *drivers) count() {
-	own := 0
+	status := &SharingStatus{Shared: d.shared, Keepers: map[string]int{}}
 	for _, known := range d.workers {
-		if known.state == drivenByOne && known.keeper == ownKeeper {
-			own++
+		switch {
+		case known.state != drivenByOne:
+			status.Moving++
+		case known.keeper == ownKeeper:
+			status.Own++
+		default:
+			status.Keepers[known.keeper]++
 		}
 	}
-	metrics := d.leader.instance.metrics
-	metrics.sessions.Update(int64(len(d.sessions)))
-	metrics.ownWorkers.Update(int64(own))
+	i := d.leader.instance
+	i.sharing.Store(status)
+	i.metrics.sessions.Update(int64(len(d.sessions)))
+	i.metrics.ownWorkers.Update(int64(status.Own))
+	i.metrics.moving.Update(int64(status.Moving))
 }
--- a/batch/drivers.go
+++ b/batch/drivers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/placing"
+	"github.com/teaselcleat/teaselcleat/relay"
 	"github.com/teaselcleat/teaselcleat/relay/relaypb"
 	"github.com/teaselcleat/teaselcleat/sharing"
 )
@@ -72,6 +73,7 @@
 	sessions map[string]*session // open and current, by instance
 	opening  map[string]time.Time
 	resting  map[string]rest
+	dial     func(ctx context.Context, address string, keep *relaypb.Keep) (*relay.Stream, error)
 	sharing  sharing.Switch
 	shared   bool
 	begunAt  time.Time // when sharing began
@@ -95,6 +97,7 @@
 		sessions: map[string]*session{},
 		opening:  map[string]time.Time{},
 		resting:  map[string]rest{},
+		dial:     relay.Open,
 	}
 }
 
@@ -320,11 +323,6 @@
 	}
 }
 
-// keep is the call that opens a session.
-func (d *drivers) keep() *relaypb.Keep {
-	return &relaypb.Keep{Epoch: d.leader.epoch, Holder: d.leader.instance.settings.Name}
-}
-
 // released says that an instance does not drive a worker any more and has nothing
 // under way there.
 type released struct {
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -71,9 +71,10 @@
 
 	draining      atomic.Bool
 	leading       atomic.Bool
-	asked         atomic.Int64  // epoch of the holder that asked for its term to be claimed
-	handOver      chan struct{} // closed when the term is to be given up
-	claimed       jobs.Term     // the last claim of this process
+	sharing       atomic.Pointer[SharingStatus] // nil unless this instance places
+	asked         atomic.Int64                  // epoch of the holder that asked for its term to be claimed
+	handOver      chan struct{}                 // closed when the term is to be given up
+	claimed       jobs.Term                     // the last claim of this process
 	claimSequence int64
 }
 
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -87,6 +87,7 @@
 	}
 	i.metrics.leading.Update(1)
 	defer i.metrics.leading.Update(0)
+	defer i.sharing.Store(nil)
 	l.load(handedOver)
 	l.start(ctx, l.complete)
 	l.start(ctx, l.writer.run)
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -15,6 +15,7 @@
 	startTime     metrics.Histogram // of orders to start
 	sessions      metrics.Gauge     // instances that keep workers for this one
 	ownWorkers    metrics.Gauge     // workers that the holder drives itself
+	moving        metrics.Gauge     // workers that are being handed over
 }
 
 func newInstruments(registry metrics.Registry) *instruments {
@@ -25,6 +26,7 @@
 	}
 	made.sessions = metrics.NewRegisteredGauge("sharing.sessions", registry)
 	made.ownWorkers = metrics.NewRegisteredGauge("sharing.own_workers", registry)
+	made.moving = metrics.NewRegisteredGauge("sharing.moving", registry)
 	made.appendTime = made.histogram("store.append_us")
 	made.submitTime = made.histogram("calls.submit_us")
 	made.startTime = made.histogram("workers.start_us")
--- a/batch/session.go
+++ b/batch/session.go
@@ -49,24 +49,6 @@
 	signal chan struct{}
 }
 
-// opening is where a session is to be opened.
-type opening struct {
-	name    string
-	address string
-	keep    *relaypb.Keep
-}
-
-// openSession connects to an instance. The session counts once it has spoken.
-func openSession(ctx context.Context, to opening, clock *Clock, events func(context.Context, event)) (*session, error) {
-	dial, done := context.WithTimeout(ctx, openTimeout)
-	defer done()
-	stream, err := relay.Open(dial, to.address, to.keep)
-	if err != nil {
-		return nil, err
-	}
-	return newSession(ctx, to.name, stream, clock, events), nil
-}
-
 func newSession(ctx context.Context, name string, stream *relay.Stream, clock *Clock, events func(context.Context, event)) *session {
 	s := &session{name: name, clock: clock, stream: stream, events: events, term: ctx, signal: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(ctx)
--- /dev/null
+++ b/batch/sharing_test.go
@@ -0,0 +1,282 @@
+package batch
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/relay"
+	"github.com/teaselcleat/teaselcleat/relay/relaypb"
+)
+
+const (
+	// manyWorkers are shared out, fewWorkers are not.
+	manyWorkers = 600
+	fewWorkers  = 300
+	// settled is when the links stand after the start of a holder.
+	settled = 3 * time.Second
+)
+
+// inFleet runs a test in virtual time on a holder, instances and workers.
+func inFleet(t *testing.T, workers, instances int, taskTime time.Duration, test func(f *sharedFleet, is *is.I)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSharedFleet(t, newSimWorkers(workers, taskTime), instances)
+		f.start()
+		defer f.stop()
+		time.Sleep(settled)
+		test(f, is.New(t))
+	})
+}
+
+func (f *sharedFleet) doubles() int {
+	return f.workers.sum(func(w *simWorker) int { return w.doubles })
+}
+
+// done is how many tasks have ended as done.
+func (f *sharedFleet) done() int {
+	f.workers.lock.Lock()
+	defer f.workers.lock.Unlock()
+	return len(f.workers.done)
+}
+
+func (f *sharedFleet) lapsed() int { return f.workers.sum(func(w *simWorker) int { return w.lapsed }) }
+
+// The holder of many workers drives none itself, each is driven by one instance,
+// and none has more than its share.
+func TestManyWorkersAreKeptByOthers(t *testing.T) {
+	inFleet(t, manyWorkers, 8, time.Second, func(f *sharedFleet, is *is.I) {
+		driven := f.workers.drivenBy(2 * holdWait)
+		is.Equal(driven["a"], 0)
+		total := 0
+		for _, count := range driven {
+			total += count
+			is.True(count < manyWorkers/3)
+		}
+		is.Equal(total, manyWorkers)
+		is.Equal(f.workers.sum(func(w *simWorker) int { return len(w.callers) }), manyWorkers) // nobody else has called one
+		f.submit("a1", 40)
+		time.Sleep(3 * time.Second)
+		is.Equal(f.done(), 40)
+		is.Equal(f.doubles(), 0)
+		is.Equal(f.ended("job_ended"), int64(1))
+	})
+}
+
+// What a few workers cost is what it cost before: no session, no other instance.
+func TestFewWorkersAreKeptByTheHolder(t *testing.T) {
+	inFleet(t, fewWorkers, 8, time.Second, func(f *sharedFleet, is *is.I) {
+		is.Equal(f.workers.drivenBy(2 * holdWait)["a"], fewWorkers)
+		is.Equal(len(f.ways), 0)
+	})
+}
+
+// Without another instance in reach the holder drives all, as it can.
+func TestHolderAloneDrivesAll(t *testing.T) {
+	inFleet(t, manyWorkers, 0, time.Second, func(f *sharedFleet, is *is.I) {
+		is.Equal(f.workers.drivenBy(2 * holdWait)["a"], manyWorkers)
+	})
+}
+
+// The workers of an instance that is lost are driven by others before any lease
+// lapses; what runs there goes on, and what was ordered through it runs once.
+func TestLostKeeperLosesNoRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(f *sharedFleet, name string)
+	}{
+		{"killed", func(f *sharedFleet, name string) { f.kill(name) }},
+		{"frozen", func(f *sharedFleet, name string) { f.workers.setFrozen(name, true) }},
+		{"frozen for a while", func(f *sharedFleet, name string) {
+			f.workers.setFrozen(name, true)
+			go func() {
+				time.Sleep(4 * time.Second)
+				f.workers.setFrozen(name, false)
+			}()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, manyWorkers, 8, 8*time.Second, func(f *sharedFleet, is *is.I) {
+				f.submit("a1", 400)
+				time.Sleep(20 * time.Millisecond) // starts are under way
+				c.lose(f, f.busiest())
+				time.Sleep(4 * time.Second)
+				f.submit("a2", 100)
+				time.Sleep(14 * time.Second)
+				is.Equal(f.lapsed(), 0)
+				is.Equal(f.doubles(), 0)
+				is.Equal(f.done(), 500)
+				is.Equal(f.ended("job_ended"), int64(2))
+			})
+		})
+	}
+}
+
+// A frozen instance that wakes gives no orders: its grant is over.
+func TestKeeperGivesNoOrdersBeyondItsGrant(t *testing.T) {
+	inFleet(t, manyWorkers, 8, time.Second, func(f *sharedFleet, is *is.I) {
+		lost := f.busiest()
+		f.workers.setFrozen(lost, true)
+		time.Sleep(5 * time.Second)
+		f.others[lost].keepings.lock.Lock()
+		for open := range f.others[lost].keepings.open {
+			is.True(!open.granted())
+		}
+		f.others[lost].keepings.lock.Unlock()
+		is.Equal(f.workers.drivenBy(2 * holdWait)[lost], 0)
+	})
+}
+
+// A worker to which only the way from its keeper is cut is driven by another.
+func TestWorkerThatItsKeeperCannotReachIsDrivenByAnother(t *testing.T) {
+	inFleet(t, manyWorkers, 8, 9*time.Second, func(f *sharedFleet, is *is.I) {
+		f.submit("a1", manyWorkers)
+		time.Sleep(time.Second)
+		cut := f.busiest()
+		f.workers.setCut(cut, "*", true)
+		time.Sleep(4 * time.Second)
+		driven := f.workers.drivenBy(3 * time.Second)
+		is.Equal(driven[cut], 0)
+		time.Sleep(8 * time.Second)
+		is.Equal(f.lapsed(), 0)
+		is.Equal(f.doubles(), 0)
+		is.Equal(f.done(), manyWorkers)
+	})
+}
+
+// What ran on a worker that nobody reaches runs again elsewhere once its lease has
+// lapsed for certain, however often the worker is given to another instance.
+func TestUnreachableWorkerIsGivenUpInTime(t *testing.T) {
+	inFleet(t, manyWorkers, 8, 5*time.Second, func(f *sharedFleet, is *is.I) {
+		f.submit("a1", 1)
+		time.Sleep(time.Second)
+		f.workers.setCut("*", f.workers.busy(), true)
+		time.Sleep(18 * time.Second)
+		is.Equal(f.ended("job_ended"), int64(1))
+		is.Equal(f.doubles(), 0)
+	})
+}
+
+// An instance that is to stop gives its workers to others first, and nobody else
+// calls a worker before.
+func TestDrainingKeeperHandsItsWorkersOver(t *testing.T) {
+	inFleet(t, manyWorkers, 8, 8*time.Second, func(f *sharedFleet, is *is.I) {
+		f.submit("a1", 400)
+		time.Sleep(500 * time.Millisecond)
+		leaving := f.busiest()
+		f.others[leaving].Drain()
+		time.Sleep(2 * time.Second)
+		f.kill(leaving)
+		is.Equal(f.ended("run_stopped"), int64(0))
+		time.Sleep(9 * time.Second)
+		is.Equal(f.lapsed(), 0)
+		is.Equal(f.doubles(), 0)
+		is.Equal(f.done(), 400)
+		is.Equal(f.workers.drivenBy(2 * holdWait)[leaving], 0)
+	})
+}
+
+// All instances that keep workers are lost at once: the holder takes over what it
+// can, and nothing that runs is lost.
+func TestAllKeepersLostAtOnce(t *testing.T) {
+	inFleet(t, manyWorkers, 6, 8*time.Second, func(f *sharedFleet, is *is.I) {
+		f.submit("a1", 300)
+		time.Sleep(500 * time.Millisecond)
+		for name := range f.others {
+			f.kill(name)
+		}
+		time.Sleep(16 * time.Second)
+		is.Equal(f.lapsed(), 0)
+		is.Equal(f.doubles(), 0)
+		is.Equal(f.done(), 300)
+		is.Equal(f.workers.drivenBy(2 * holdWait)["a"], manyWorkers)
+	})
+}
+
+// The next holder's sessions end those of the former one, which steps down on the
+// word of any instance.
+func TestLaterTermEndsTheSessionsOfTheFormer(t *testing.T) {
+	inFleet(t, manyWorkers, 8, 8*time.Second, func(f *sharedFleet, is *is.I) {
+		f.submit("a1", 200)
+		time.Sleep(time.Second)
+		next := f.newHolder(6)
+		former := f.holder
+		over := f.over
+		f.holder, f.over = next, make(chan struct{})
+		f.start()
+		select {
+		case <-over:
+		case <-time.After(3 * time.Second):
+			t.Error("the former holder goes on")
+		}
+		is.True(former.deposed)
+		former.running.Wait()
+		time.Sleep(settled)
+		driven := f.workers.drivenBy(2 * holdWait)
+		is.Equal(driven["a"], 0)
+		time.Sleep(6 * time.Second)
+		is.Equal(f.lapsed(), 0)
+		is.Equal(f.doubles(), 0)
+	})
+}
+
+// An instance of a later term, or one that is about to stop, keeps nothing.
+func TestKeepingIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, change := range []func(i *Instance){
+			func(i *Instance) { i.Drain() },
+			func(i *Instance) { i.work.loaded = false },
+			func(i *Instance) { i.keepings.add(&keeping{epoch: 9, out: newKeptBox()}, 0) },
+		} {
+			instance := standbyOf(t, &tailStore{}, "none")
+			change(instance)
+			near, far := relay.Pipe()
+			go instance.Keep(t.Context(), &relaypb.Keep{Epoch: 8}, far)
+			answer := &relaypb.Kept{}
+			is.NoErr(near.Receive(answer))
+			is.True(answer.Refused || answer.Fenced)
+		}
+	})
+}
+
+// An instance that takes no orders is not waited for.
+func TestSessionEndsWhenItsQueueIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := relay.Pipe()
+		clock := NewClock()
+		virtual(clock)
+		events := make(chan event, 8)
+		s := newSession(t.Context(), "keeper", near, clock, func(_ context.Context, next event) { events <- next })
+		go s.run()
+		go func() { _ = far.Send(&relaypb.Kept{Clock: 1}) }()
+		<-events // opened
+		<-events // its first word
+		for range sessionOrders + 1 {
+			s.acknowledge("w", 1)
+		}
+		ended, ok := (<-events).(sessionEnded)
+		is.True(ok)
+		is.True(ended.session == s)
+	})
+}
+
+// Where the division changes, log lines name the instance, its share and why.
+func TestSharingIsTold(t *testing.T) {
+	inFleet(t, manyWorkers, 8, time.Second, func(f *sharedFleet, is *is.I) {
+		status := f.holder.instance.Status()
+		is.True(status.Sharing.Shared)
+		is.Equal(status.Sharing.Own, 0)
+		total := 0
+		for name, count := range status.Sharing.Keepers {
+			is.True(strings.HasPrefix(name, "keeper-"))
+			total += count
+			is.Equal(f.others[name].Status().Keeping, count)
+		}
+		is.Equal(total, manyWorkers)
+	})
+}
--- a/batch/status.go
+++ b/batch/status.go
@@ -12,7 +12,17 @@
 	Draining      bool               `json:"draining"`
 	LogAgeMS      int64              `json:"log_age_ms"` // since the last answered read of the log
 	Jobs          map[jobs.State]int `json:"jobs"`
-	Waiting       map[string]int     `json:"waiting"` // by queue
+	Waiting       map[string]int     `json:"waiting"`           // by queue
+	Keeping       int                `json:"keeping"`           // workers driven for the holder of the term
+	Sharing       SharingStatus      `json:"sharing,omitempty"` // of the holder of the term
+}
+
+// SharingStatus is how the holder of the term reaches the workers.
+type SharingStatus struct {
+	Shared  bool           `json:"shared"`            // others keep shares of them
+	Own     int            `json:"own"`               // workers that it drives itself
+	Moving  int            `json:"moving"`            // workers that nobody drives now, or that are being handed over
+	Keepers map[string]int `json:"keepers,omitempty"` // workers driven, by instance
 }
 
 // Status returns what this instance believes now.
@@ -24,6 +34,10 @@
 		Draining: i.Draining(),
 		LogAgeMS: sinceMS(i.clock.Now(), i.work.heardAt()),
 		Waiting:  map[string]int{},
+		Keeping:  i.keepings.count(),
+	}
+	if sharing := i.sharing.Load(); sharing != nil {
+		status.Sharing = *sharing
 	}
 	config := i.Config()
 	i.foldLock.Lock()
