Entries of another writer name no worker; records that are not ours change no fold

Submissions, terms and instances are checked before they are folded. Tests of both kinds and a fuzz target for the fold.

--- a/batch/config.go
+++ b/batch/config.go
@@ -20,6 +20,7 @@
 	Version       int64
 	MaxBodyBytes  int64
 	Queues        []Queue
+	Pools         []string          // of workers that are named
 	WorkspaceKeys map[string]string // API key to workspace
 	Guarantees    map[string]int64  // accelerators that belong to a workspace
 }
--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -59,7 +60,7 @@
 func (s *simWorkers) entries() map[string]placing.WorkerEntry {
 	list := map[string]placing.WorkerEntry{}
 	for id := range s.workers {
-		list[id] = placing.WorkerEntry{ID: id, Address: id, Kind: "a", Rack: "r1-" + id[:4], Zone: "z" + id[4:],
+		list[id] = placing.WorkerEntry{ID: id, Address: id, Kind: "a", Rack: "r1-" + id[:4], Pool: "pool", Zone: "z" + id[4:],
 			Capacity: jobs.Resources{MilliCores: 64000, MemoryMB: 1 << 18, Accelerators: 8}}
 	}
 	return list
@@ -328,6 +329,7 @@
 	holder.drivers.dial = f.dial
 	holder.listed = holder.newList()
 	holder.entries = f.workers.entries()
+	holder.pools["pool"] = true
 	for name := range f.others {
 		record, err := jobs.InstanceRecord(name, jobs.Instance{Address: name, CPUShare: 0.4})
 		i.take(f.t, partOf(record.Subject(), 8), record, err)
@@ -416,7 +418,7 @@
 }
 
 func (f *sharedFleet) submit(id string, tasks int) {
-	record, err := jobs.SubmissionRecord(&jobs.Submission{ID: id, Queue: jobs.Queue{Name: "q", MaxAttempts: 4, Stretch: 3, TargetMS: 1000},
+	record, err := jobs.SubmissionRecord(&jobs.Submission{ID: id, Queue: jobs.Queue{Name: "q", Pool: "pool", MaxAttempts: 4, Stretch: 3, TargetMS: 1000},
 		Steps: []jobs.Step{{Tasks: tasks, EstimateMS: f.workers.taskTime.Milliseconds(), Need: jobs.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: 8}}}})
 	f.holder.instance.take(f.t, partOf(id, 8), record, err)
 }
@@ -424,3 +426,31 @@
 func (f *sharedFleet) ended(name string) int64 {
 	return metrics.GetOrRegisterCounter("decisions."+name, f.holder.instance.metrics.registry).Count()
 }
+
+// An entry that another writer made takes the worker of that key out of use, and an
+// entry of a pool that nobody named is no worker; the others hold.
+func TestEntriesOfAnotherWriterNameNoWorker(t *testing.T) {
+	is := is.New(t)
+	l := leaderOn(t.Context(), newPartedStore(), 3)
+	l.instance.decoder = entryDecoder{}
+	l.pools["pool"] = true
+	l.applyList(Batch{Records: []jobs.Record{{Key: "w1", Value: []byte("pool")}, {Key: "w2", Value: []byte("pool")}, {Key: "w3", Value: []byte("other")}}})
+	l.applyList(Batch{Records: []jobs.Record{{Key: "w2", Value: []byte("?")}, {Key: "w4", Value: []byte("?")}, {Key: "", Value: []byte("?")}}})
+	is.Equal(len(l.entries), 2)
+	l.listed = l.newList()
+	l.instance.workers = &simPort{fleet: newSimWorkers(0, time.Second), instance: "a"}
+	listChanged{}.apply(l, l.clock.Now())
+	is.Equal(len(l.drivers.workers), 1)
+	is.True(l.drivers.workers["w1"] != nil)
+	is.Equal(metrics.GetOrRegisterCounter("workers.entries_unreadable", l.instance.metrics.registry).Count(), int64(3))
+}
+
+// entryDecoder reads the pool of a worker as its entry's value; "?" is unreadable.
+type entryDecoder struct{ Decoder }
+
+func (entryDecoder) Worker(record jobs.Record) (placing.WorkerEntry, bool, error) {
+	if string(record.Value) == "?" {
+		return placing.WorkerEntry{}, false, eris.New("unreadable")
+	}
+	return placing.WorkerEntry{ID: record.Key, Pool: string(record.Value)}, false, nil
+}
--- a/batch/handover_test.go
+++ b/batch/handover_test.go
@@ -20,7 +20,7 @@
 func leaderOn(ctx context.Context, store Store, epoch int64) *leader {
 	instance := New(Settings{Name: "a", StoreParts: 8}, store, nil, nil, metrics.NewRegistry(), quietLog())
 	l := &leader{instance: instance, clock: instance.clock, log: quietLog(), epoch: epoch, ctx: ctx,
-		engine: placing.New(instance.limits(), epoch, instance.clock.WallMS), events: ring.New[event](eventRing)}
+		engine: placing.New(instance.limits(), epoch, instance.clock.WallMS), events: ring.New[event](eventRing), pools: map[string]bool{}, entries: map[string]placing.WorkerEntry{}}
 	l.drivers = newDrivers(l)
 	l.writer = newFencedWriter(l, jobs.Term{Epoch: epoch, Holder: "a/1"}, 1)
 	l.load(true)
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -51,9 +51,13 @@
 	deposed  bool
 	openedAt time.Time                      // when the term was opened to others; zero before
 	entries  map[string]placing.WorkerEntry // guarded by the list follower's lock
-	listed   *follower
-	running  sync.WaitGroup
-	ctx      context.Context // ends with the term
+	// pools are those that a configuration or a job has named: entries of any other
+	// name no worker to use. A pool that is not routed to any more may still have
+	// work of jobs that were accepted before.
+	pools   map[string]bool
+	listed  *follower
+	running sync.WaitGroup
+	ctx     context.Context // ends with the term
 }
 
 // lead holds the term until it is lost or ctx ends.
@@ -68,6 +72,7 @@
 		epoch:    term.Epoch,
 		events:   ring.New[event](eventRing),
 		entries:  map[string]placing.WorkerEntry{},
+		pools:    map[string]bool{},
 		ctx:      ctx,
 	}
 	l.drivers = newDrivers(l)
@@ -133,7 +138,11 @@
 	i.fold.watching.Store(true)
 	clear(i.fold.dirty)
 	l.configure()
-	l.engine.Load(i.fold.table.All(), handedOver, l.clock.Now())
+	all := i.fold.table.All()
+	for _, job := range all {
+		l.pools[job.Submission.Queue.Pool] = true
+	}
+	l.engine.Load(all, handedOver, l.clock.Now())
 }
 
 // catchUp reads once what callers have written, so that the engine mostly
@@ -174,8 +183,13 @@
 	queues := make([]jobs.Queue, 0, len(config.Queues))
 	for index := range config.Queues {
 		queues = append(queues, config.Queues[index].Queue)
+		l.pools[config.Queues[index].Pool] = true
+	}
+	for _, pool := range config.Pools {
+		l.pools[pool] = true
 	}
 	l.engine.Configure(queues, config.Guarantees)
+	l.offer(listChanged{})
 }
 
 func (l *leader) newList() *follower {
@@ -190,11 +204,10 @@
 	for _, record := range batch.Records {
 		entry, gone, err := l.instance.decoder.Worker(record)
 		if err != nil {
-			l.log.WithField("error", err.Error()).Warn("worker_entry_unreadable")
-			continue
+			l.unreadable(record, err)
 		}
-		if gone {
-			delete(l.entries, entry.ID)
+		if err != nil || gone {
+			delete(l.entries, record.Key)
 			continue
 		}
 		l.entries[entry.ID] = entry
@@ -202,6 +215,14 @@
 	l.offer(listChanged{})
 }
 
+// unreadable notes an entry that another writer made. It stands in for the
+// worker's own, which does not hold any more.
+func (l *leader) unreadable(record jobs.Record, err error) {
+	fields := logrus.Fields{"worker": record.Key, "error": err.Error()}
+	l.instance.chronicle.write(l.log, "worker_entry_unreadable", fields)
+	l.instance.metrics.count("workers.entries_unreadable")
+}
+
 // offer hands an event to the loop without waiting; events that may be offered
 // so come again.
 func (l *leader) offer(e event) { l.events.Offer(e) }
@@ -213,7 +234,9 @@
 	l.listed.lock.Lock()
 	entries := make([]placing.WorkerEntry, 0, len(l.entries))
 	for _, entry := range l.entries {
-		entries = append(entries, entry)
+		if l.pools[entry.Pool] {
+			entries = append(entries, entry)
+		}
 	}
 	l.listed.lock.Unlock()
 	l.engine.List(entries, now)
@@ -279,6 +302,7 @@
 		if job == nil {
 			continue
 		}
+		l.pools[job.Submission.Queue.Pool] = true
 		l.engine.Learn(job, now)
 	}
 	clear(i.fold.dirty)
--- /dev/null
+++ b/jobs/foreign_test.go
@@ -0,0 +1,62 @@
+package jobs
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A record that is not one of ours changes nothing, whatever its key says.
+func TestRecordOfAnotherWriterChangesNothing(t *testing.T) {
+	for _, c := range []struct{ name, key, value string }{
+		{"bytes", "s/a1", "\x00\xff"},
+		{"another type", "s/a1", `[1]`},
+		{"null", "s/a1", `null`},
+		{"no steps", "s/a1", `{"id":"a1"}`},
+		{"a step without tasks", "s/a1", `{"id":"a1","t":[{"n":0}]}`},
+		{"a negative need", "s/a1", `{"id":"a1","t":[{"n":1,"r":{"a":-1}}]}`},
+		{"a step that waits for itself", "s/a1", `{"id":"a1","t":[{"n":1,"d":[0]}]}`},
+		{"too many tasks", "s/a1", `{"id":"a1","o":1000000,"t":[{"n":1000000}]}`},
+		{"negative occurrences", "s/a1", `{"id":"a1","o":-1,"t":[{"n":1}]}`},
+		{"another job's", "s/a1", `{"id":"b2","t":[{"n":1}]}`},
+		{"a state that is not named", "e/a1", "z"},
+		{"progress in no state", "p/a1", `z{}`},
+		{"a term of another type", "term", `"x"`},
+		{"a term that is null", "term", `null`},
+		{"a negative epoch", "term", `{"e":-4,"h":"x"}`},
+		{"an instance of another type", "i/x", `7`},
+		{"an instance that is null", "i/x", `null`},
+		{"an instance without an address", "i/x", `{"z":"zone"}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := NewTable()
+			change, err := table.Apply(Record{Key: c.key, Value: []byte(c.value)}, 1, 7)
+			is.True(err != nil)
+			is.Equal(change, Change{})
+			is.Equal(table.Len(), 0)
+			is.Equal(table.Term(), Term{})
+			is.Equal(len(table.Instances()), 0)
+		})
+	}
+}
+
+// No bytes under any key stop the fold.
+func FuzzApply(f *testing.F) {
+	f.Add("s/a1", []byte(`{"id":"a1","t":[{"n":2,"d":[]}]}`))
+	f.Add("p/a1", []byte(`r{"d":"01","t":[[0,1,0,0,"w",""]]}`))
+	f.Add("e/a1", []byte("d"))
+	f.Add("term", []byte(`{"e":3,"h":"a/1"}`))
+	f.Add("i/x", []byte(`{"a":"10.1.0.9:7000"}`))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		table := NewTable()
+		if _, err := table.Apply(Record{Key: key, Value: value}, 1, 7); err != nil {
+			return
+		}
+		for _, job := range table.All() {
+			if job.Submission.Runs()*job.Submission.TasksOfRun() > MaxTasks {
+				t.Error("too many tasks were taken")
+			}
+		}
+	})
+}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/rotisserie/eris"
+)
 
 // Resources is what a task occupies on a worker, or what a worker offers.
 type Resources struct {
@@ -83,6 +87,41 @@
 	return total
 }
 
+// MaxTasks is how many tasks a job may have over all occurrences: its progress is
+// one record.
+const MaxTasks = 3000
+
+// check reports what keeps a record from being the submission of a job, as another
+// writer may have left it.
+func (s *Submission) check(id string) error {
+	if s.ID != id {
+		return eris.Errorf("submission of %q under %q", s.ID, id)
+	}
+	if len(s.Steps) == 0 || s.Occurrences < 0 || s.Occurrences > MaxTasks {
+		return eris.Errorf("submission of %s has no steps, or no sound count of runs", id)
+	}
+	tasks := 0
+	for index := range s.Steps {
+		if !s.Steps[index].sound(index) {
+			return eris.Errorf("submission of %s: step %d is not sound", id, index)
+		}
+		tasks += s.Steps[index].Tasks
+	}
+	if tasks*s.Runs() > MaxTasks {
+		return eris.Errorf("submission of %s has too many tasks", id)
+	}
+	return nil
+}
+
+func (s *Step) sound(index int) bool {
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= index {
+			return false
+		}
+	}
+	return s.Tasks >= 1 && s.Tasks <= MaxTasks && s.Need.MilliCores >= 0 && s.Need.MemoryMB >= 0 && s.Need.Accelerators >= 0
+}
+
 // TaskKey names one task.
 type TaskKey struct {
 	Job        string
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"sort"
+
+	"github.com/rotisserie/eris"
 )
 
 // Job is the folded state of one job.
@@ -164,6 +166,9 @@
 	if err != nil {
 		return err
 	}
+	if instance.Address == "" {
+		return eris.New("instance " + name + " names no address")
+	}
 	t.instances[name] = *instance
 	return nil
 }
@@ -176,6 +181,9 @@
 	if err != nil {
 		return Change{}, err
 	}
+	if term.Epoch < 1 {
+		return Change{}, eris.Errorf("a term of epoch %d", term.Epoch)
+	}
 	if term.Epoch < t.term.Epoch {
 		return Change{}, nil
 	}
@@ -207,6 +215,9 @@
 	if err != nil {
 		return Change{}, err
 	}
+	if err := submission.check(id); err != nil {
+		return Change{}, err
+	}
 	job := t.job(id)
 	job.Submission = submission
 	job.Parts |= 1 << part
--- a/placing/job.go
+++ b/placing/job.go
@@ -122,11 +122,11 @@
 }
 
 func (j *job) task(key jobs.TaskKey) *task {
-	if key.Occurrence >= len(j.runs) || key.Step >= len(j.submission.Steps) {
+	if key.Occurrence < 0 || key.Occurrence >= len(j.runs) || key.Step < 0 || key.Step >= len(j.submission.Steps) {
 		return nil
 	}
 	tasks := j.runs[key.Occurrence].steps[key.Step].tasks
-	if key.Index >= len(tasks) {
+	if key.Index < 0 || key.Index >= len(tasks) {
 		return nil
 	}
 	return tasks[key.Index]
@@ -226,7 +226,7 @@
 		}
 	}
 	for _, kept := range progress.Tasks {
-		if kept.Flat < len(tasks) {
+		if kept.Flat >= 0 && kept.Flat < len(tasks) {
 			e.restoreTask(tasks[kept.Flat], kept, lapse)
 		}
 	}
