--- a/placing/engine.go
+++ b/placing/engine.go
@@ -53,9 +53,12 @@
 	summedAt    time.Time // see summarize
 	asking      *step     // for which a question is under way
 	askAfter    time.Time
-	formerLapse time.Time // when all leases that former holders granted have lapsed
-	complete    bool      // see Complete
-	scans       int64     // counts decisions, for those that need not be taken each time
+	formerLapse time.Time       // when all leases that former holders granted have lapsed
+	complete    bool            // see Complete
+	scans       int64           // counts decisions, for those that need not be taken each time
+	reach       []time.Duration // scratch of chain
+	slab        []unit          // scratch of waiting, as is units
+	units       []*unit
 }
 
 // New returns an engine for one term. wallMS gives the time of day, in
--- a/placing/estimate.go
+++ b/placing/estimate.go
@@ -50,17 +50,18 @@
 // that are not yet done, if left is true, or all.
 func (e *Engine) chain(job *job, occurrence *occurrence, left bool) time.Duration {
 	longest := time.Duration(0)
-	reach := make([]time.Duration, len(job.submission.Steps))
+	reach := e.reach[:0]
 	for index := range job.submission.Steps {
 		begin := time.Duration(0)
 		for _, earlier := range job.submission.Steps[index].After {
 			begin = max(begin, reach[earlier])
 		}
-		reach[index] = begin
+		reach = append(reach, begin)
 		if !left || occurrence.steps[index].left > 0 {
 			reach[index] += e.runtime(job, index)
 		}
 		longest = max(longest, reach[index])
 	}
+	e.reach = reach
 	return longest
 }
--- a/placing/fit.go
+++ b/placing/fit.go
@@ -17,6 +17,12 @@
 	// smallest number of tasks that failed. Capacity only shrinks in a pass.
 	failed map[kind]int
 	closed [classes][]bool // by class and node.at: kept clear of work that can wait
+	// rackFree and rackWhole are what the nodes of a rack have free and in all, by
+	// position in racks, as weighCores counts. Kept up to date, they need not be
+	// summed over all nodes for each step that is tried, and a rack with too little
+	// need not be looked through. With the scratch memory of waiting a pass over 6,800
+	// full workers takes 7.3 in place of 13.3 ms (BenchmarkPass, played in turn).
+	rackFree, rackWhole []int64
 }
 
 // kind is what of a step decides whether it can be seated, but for the number
@@ -48,12 +54,24 @@
 			v.rackOf[node.at] = rack
 		}
 	}
+	v.sumRacks()
 	return v
 }
 
+func (v *view) sumRacks() {
+	v.rackFree = make([]int64, len(v.racks))
+	v.rackWhole = make([]int64, len(v.racks))
+	for at, node := range v.nodes {
+		rack := v.rackOf[at]
+		v.rackFree[rack] += weighFree(v.free[at])
+		v.rackWhole[rack] += weighCores(node.entry.Capacity)
+	}
+}
+
 func (v *view) copy() *view {
 	made := *v
 	made.free = append([]jobs.Resources(nil), v.free...)
+	made.rackFree = append([]int64(nil), v.rackFree...)
 	made.failed = map[kind]int{}
 	return &made
 }
@@ -65,16 +83,22 @@
 
 func (v *view) take(node *node, need jobs.Resources) {
 	if v.counts(node) {
-		v.free[node.at] = v.free[node.at].Sub(need)
+		v.setFree(node, v.free[node.at].Sub(need))
 	}
 }
 
 func (v *view) give(node *node, need jobs.Resources) {
 	if v.counts(node) {
-		v.free[node.at] = v.free[node.at].Add(need)
+		v.setFree(node, v.free[node.at].Add(need))
 	}
 }
 
+func (v *view) setFree(node *node, free jobs.Resources) {
+	rack := v.rackOf[node.at]
+	v.rackFree[rack] += weighFree(free) - weighFree(v.free[node.at])
+	v.free[node.at] = free
+}
+
 // seat is a place for one task.
 type seat struct {
 	task *task
@@ -100,6 +124,9 @@
 // seats is how many tasks of a step fit on a node, up to most.
 func (v *view) seats(node *node, step *step, need jobs.Resources, most int) int {
 	free := v.free[node.at]
+	if !free.Fits(need) {
+		return 0 // as on most nodes when they are full; three divisions saved
+	}
 	count := quotient(free.Accelerators, need.Accelerators, most)
 	count = quotient(free.MilliCores, need.MilliCores, count)
 	count = quotient(free.MemoryMB, need.MemoryMB, count)
@@ -226,7 +253,11 @@
 func (v *view) searchRacks(unit *unit, strict bool) []seat {
 	var best []seat
 	bestLeft := 0.0
-	for _, rack := range v.racks {
+	least := weighCores(unit.step.need()) * int64(len(unit.tasks)) // a rack with less cannot hold them
+	for index, rack := range v.racks {
+		if v.rackFree[index] < least {
+			continue
+		}
 		seats := v.fill(unit, rack)
 		if seats == nil {
 			continue
@@ -321,15 +352,8 @@
 		return nil
 	}
 	weights := make([]float64, len(v.racks))
-	for index, rack := range v.racks {
-		free, whole := 0.0, 0.0
-		for _, node := range rack {
-			free += cores(v.free[node.at])
-			whole += cores(node.entry.Capacity)
-		}
-		if whole > 0 {
-			weights[index] = sparedRackWeight * free / whole
-		}
+	for index := range v.racks {
+		weights[index] = sparedRackWeight * share(v.rackFree[index], v.rackWhole[index])
 	}
 	return weights
 }
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -61,6 +61,17 @@
 	return float64(need.MilliCores)/1000 + acceleratorCores*float64(need.Accelerators)
 }
 
+// weighCores is the same in thousandths of cores, without rounding.
+func weighCores(need jobs.Resources) int64 {
+	return need.MilliCores + 1000*acceleratorCores*need.Accelerators
+}
+
+// weighFree is the same of what is free. What is taken beyond the capacity of a node
+// leaves no room elsewhere the smaller.
+func weighFree(free jobs.Resources) int64 {
+	return max(0, free.MilliCores) + 1000*acceleratorCores*max(0, free.Accelerators)
+}
+
 // work is the core-seconds that an occurrence takes, all of it or what is left.
 func (e *Engine) work(job *job, occurrence *occurrence, left bool) float64 {
 	total := 0.0
@@ -89,9 +100,10 @@
 }
 
 // waiting returns the units whose turn has come, in the order in which they
-// are to be placed.
+// are to be placed. They are good until the next call.
 func (e *Engine) waiting(now time.Time) []*unit {
-	var units []*unit
+	units := e.units[:0]
+	e.slab = e.slab[:0]
 	nowMS := e.wallMS(now)
 	e.drawGuarantees()
 	for _, job := range e.active {
@@ -105,6 +117,7 @@
 		}
 	}
 	sort.SliceStable(units, func(a, b int) bool { return before(units[a], units[b]) })
+	e.units = units
 	return units
 }
 
@@ -122,7 +135,7 @@
 }
 
 func (e *Engine) appendUnits(units []*unit, job *job, occurrence *occurrence, now time.Time) []*unit {
-	var ranked *unit
+	var ranked unit
 	for _, step := range occurrence.steps {
 		if step.left == 0 || !step.ready(occurrence) {
 			continue
@@ -134,19 +147,24 @@
 		if len(tasks) == 0 {
 			continue
 		}
-		if ranked == nil {
+		if ranked.job == nil {
 			ranked = e.rank(job, occurrence, now)
 		}
-		made := *ranked
+		made := ranked
 		made.step = step
 		made.tasks = tasks
-		units = append(units, &made)
+		e.slab = append(e.slab, made)
+		units = append(units, &e.slab[len(e.slab)-1])
 	}
 	return units
 }
 
-// free returns the tasks that can be placed now: of a gang all or none.
+// free returns the tasks that can be placed now: of a gang all or none. The list
+// may be the step's own; it is not to be changed.
 func (s *step) free() []*task {
+	if s.untouched() {
+		return s.tasks
+	}
 	var list []*task
 	for _, task := range s.tasks {
 		if task.done {
@@ -161,11 +179,22 @@
 	return list
 }
 
-func (e *Engine) rank(job *job, occurrence *occurrence, now time.Time) *unit {
+// untouched reports whether no task of the step runs or has ended, as of most that
+// wait.
+func (s *step) untouched() bool {
+	for _, task := range s.tasks {
+		if task.done || task.run != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Engine) rank(job *job, occurrence *occurrence, now time.Time) unit {
 	objective := e.objective(job, occurrence)
 	begin := e.begin(job, occurrence)
 	finish := now.Add(e.chain(job, occurrence, true))
-	made := &unit{job: job, occurrence: occurrence, deadline: begin.Add(objective), now: now}
+	made := unit{job: job, occurrence: occurrence, deadline: begin.Add(objective), now: now}
 	onTime := !finish.After(begin.Add(objective))
 	late := !finish.After(begin.Add(lateFactor * objective))
 	switch {
