A store that has just gone away is asked before it is written to

Ruled out: reading on until the caller's time is over: outages of 4 to 6 s outlast the three seconds that callers stay. Change: every follower notes a read that is not answered; until a part has answered since, it is read before it is written to. What is refused then was certainly not sent.

--- a/batch/follow.go
+++ b/batch/follow.go
@@ -60,6 +60,7 @@
 	wait   func() time.Duration // how long a read may wait for one
 	wanted func() bool          // whether to follow now; nil for always
 	roused chan struct{}        // see rouse
+	onLost func()               // called when a read is not answered
 
 	lock     *sync.Mutex // held while records are applied; may be shared
 	next     int64
@@ -250,6 +251,14 @@
 		f.log.WithField("stream", string(f.stream)).WithField("part", f.part).WithField("error", err.Error()).Warn("store_lost")
 	}
 	f.failures++
+	f.onLost()
+}
+
+// answeredSince reports whether a read that was sent after some moment was answered.
+func (f *follower) answeredSince(moment time.Time) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.contact.After(moment)
 }
 
 func (f *follower) isLoaded() bool {
--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -135,7 +135,7 @@
 // write appends a caller's record, here or through another instance.
 func (i *Instance) write(ctx context.Context, record jobs.Record) error {
 	err := ErrNotDone
-	if i.mayWrite(record) {
+	if i.mayWrite(ctx, record) {
 		err = i.committer(record).write(ctx, record)
 	}
 	if err == nil || errors.Is(err, ErrUnknown) && !errors.Is(err, errOutOfReach) {
@@ -152,9 +152,22 @@
 	return helped
 }
 
-// mayWrite reports whether an append from here is likely to be answered.
-func (i *Instance) mayWrite(record jobs.Record) bool {
-	return i.loaded() && i.work.inContact() && !i.committer(record).doubtful(i.work.heardAt())
+// mayWrite reports whether an append from here is likely to be answered. What is
+// sent to a store that has just gone away stays open, and its caller is told of
+// neither yes nor no: 35 of some 1,200 hand-ins on days with an outage of the store
+// for all. Of the reads that wait one is cut at once, so after any that was not
+// answered the part is asked before it is written to.
+func (i *Instance) mayWrite(ctx context.Context, record jobs.Record) bool {
+	if !i.loaded() || !i.work.inContact() || i.committer(record).doubtful(i.work.heardAt()) {
+		return false
+	}
+	part := i.follower(partOf(record.Subject(), i.settings.StoreParts))
+	if part.answeredSince(time.Unix(0, i.readLostAt.Load())) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshTimeout)
+	defer cancel()
+	return part.refresh(ctx, 0) == nil
 }
 
 func (i *Instance) helperAddresses() []string {
@@ -182,7 +195,7 @@
 
 func (i *Instance) relayedWrite(ctx context.Context, write *relaypb.Write) relaypb.Fate {
 	record := jobs.Record{Key: write.Key, Value: write.Value}
-	if !i.mayWrite(record) {
+	if !i.mayWrite(ctx, record) {
 		return relaypb.Fate_FATE_NOT_DONE
 	}
 	err := i.committer(record).write(ctx, record)
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -72,6 +72,7 @@
 	draining      atomic.Bool
 	leading       atomic.Bool
 	sharing       atomic.Pointer[SharingStatus] // nil unless this instance places
+	readLostAt    atomic.Int64                  // steady nanoseconds of the newest read, of any stream, without an answer
 	asked         atomic.Int64                  // epoch of the holder that asked for its term to be claimed
 	handOver      chan struct{}                 // closed when the term is to be given up
 	claimed       jobs.Term                     // the last claim of this process
@@ -137,6 +138,7 @@
 		lock:   lock,
 		roused: make(chan struct{}, 1),
 		wait:   func() time.Duration { return wait },
+		onLost: func() { i.readLostAt.Store(i.clock.Now().UnixNano()) },
 	}
 }
 
