What became of a hand-in is found out while its caller waits

Cause: an append without an answer was called open, for good, after two tries, 0.5 to 2 s into the three that the caller had; the next hand-ins waited behind it. Change: the log is looked at on, and the group sent again, while a caller waits; after 0.6 s the next group goes beside. A record written twice is harmless.

--- a/batch/commit.go
+++ b/batch/commit.go
@@ -68,6 +68,7 @@
 	commitWaiting int32 = iota
 	commitTaken         // by the duty that appends
 	commitGivenUp       // by its caller, before it was taken
+	commitLeft          // by its caller, afterwards
 )
 
 // commit is a record on its way to the log.
@@ -122,6 +123,7 @@
 	if made.state.CompareAndSwap(commitWaiting, commitGivenUp) {
 		return ErrNotDone
 	}
+	made.state.Store(commitLeft)
 	return ErrUnknown
 }
 
@@ -141,14 +143,10 @@
 			continue
 		}
 		c.sentAt.Store(c.clock.Now().UnixNano())
-		err := c.append(ctx, group)
+		overtaken := make(chan struct{})
+		go c.settle(ctx, group, overtaken)
+		<-overtaken
 		c.sentAt.Store(0)
-		if errors.Is(err, ErrUnknown) {
-			c.lostAt.Store(c.clock.Now().UnixNano())
-		}
-		for _, member := range group {
-			member.result <- err
-		}
 	}
 }
 
@@ -171,10 +169,7 @@
 // append sends a group until its fate is known or the tries are used up. Once a
 // try went unanswered, later refusals do not make the group undone.
 func (c *committer) append(ctx context.Context, group []*commit) error {
-	records := make([]jobs.Record, 0, len(group))
-	for _, member := range group {
-		records = append(records, member.record)
-	}
+	records := recordsOf(group)
 	unknown := false
 	for try := 0; try < commitTries; try++ {
 		err := c.try(ctx, records)
--- a/batch/outage_test.go
+++ b/batch/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -92,3 +93,98 @@
 		is.Equal(store.appends.Load(), sent)
 	})
 }
+
+// lateStore answers no append and carries each out after a time of its own.
+type lateStore struct {
+	Store
+	lock  sync.Mutex
+	late  []time.Duration // of each append, the last for all others
+	sent  int
+	known map[string]bool
+}
+
+func (s *lateStore) Append(ctx context.Context, _ int, records []jobs.Record, _ *Fence) error {
+	s.lock.Lock()
+	late := s.late[min(s.sent, len(s.late)-1)]
+	s.sent++
+	s.lock.Unlock()
+	time.AfterFunc(late, func() {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		for _, record := range records {
+			s.known[record.Key] = true
+		}
+	})
+	<-ctx.Done()
+	return ErrUnknown
+}
+
+func (s *lateStore) holds(_ context.Context, records []jobs.Record) (bool, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, record := range records {
+		if !s.known[record.Key] {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// A store that loses answers and carries appends out seconds late takes one of
+// several in time: the caller waits for it and is told the truth, while others are
+// not held up. Once the caller has left, nothing more is sent.
+func TestLateAppendIsFoundOutWhileItsCallerWaits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late []time.Duration
+		fate error
+		by   time.Duration
+	}{
+		{"late once", []time.Duration{1700 * time.Millisecond, 10 * time.Second}, nil, 2 * time.Second},
+		{"the fourth is in time", []time.Duration{9 * time.Second, 9 * time.Second, 9 * time.Second, 100 * time.Millisecond}, nil, 2 * time.Second},
+		{"all are too late", []time.Duration{9 * time.Second}, ErrUnknown, 2850 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				store := &lateStore{late: c.late, known: map[string]bool{}}
+				made := newCommitter(store, NewClock(), 1)
+				made.readBack = store.holds
+				go made.run(ctx)
+				call, left := context.WithTimeout(ctx, 2850*time.Millisecond)
+				begin := time.Now()
+				fate := made.write(call, jobs.CancelRecord("a"))
+				is.Equal(fate, c.fate)
+				is.True(time.Since(begin) <= c.by)
+				left()
+				time.Sleep(time.Second)
+				sent := store.sent
+				time.Sleep(5 * time.Second)
+				is.Equal(store.sent, sent)
+				is.True(sent <= 8)
+				cancel()
+				time.Sleep(5 * time.Second) // until late appends are over
+			})
+		})
+	}
+}
+
+// A group that is not answered does not hold up the next for long.
+func TestGroupsOvertakeOneWithoutAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &lateStore{late: []time.Duration{20 * time.Second, 20 * time.Second, 0}, known: map[string]bool{}}
+		made := newCommitter(store, NewClock(), 1)
+		made.readBack = store.holds
+		go made.run(ctx)
+		go func() { _ = made.write(ctx, jobs.CancelRecord("first")) }()
+		time.Sleep(time.Millisecond)
+		begin := time.Now()
+		is.NoErr(made.write(ctx, jobs.CancelRecord("second")))
+		is.True(time.Since(begin) < 3*overtakeAfter)
+		cancel()
+		time.Sleep(25 * time.Second)
+	})
+}
