A slow store is waited for and not sent repeats

Ruled out: losing answers (all appends were answered, or carried out, in the end). Change: a look of 60 ms or more says that the store is slow; then the answer is waited for, up to 2.5 s, and nothing is sent again. Looks have 0.6 s.

--- a/batch/commit.go
+++ b/batch/commit.go
@@ -29,8 +29,15 @@
 	// written twice.
 	commitTries = 2
 	// readBackTimeout bounds a look at the log for an append without an answer;
-	// reads take milliseconds, and 0.3 s while the store is slow.
-	readBackTimeout = 350 * time.Millisecond
+	// reads take milliseconds, and up to 0.4 s while the store is slow: looks that
+	// were given up then passed for a store out of reach.
+	readBackTimeout = 600 * time.Millisecond
+	// slowLook is how long a look takes at least if the store is slow. Appends of a
+	// part then wait for each other for up to two seconds, so the answer is waited for
+	// until slowMost, and nothing is sent again: with repeats after 0.6 s the parts
+	// were full for six seconds, and of 230 hand-ins 160 were told neither yes nor no.
+	slowLook = 60 * time.Millisecond
+	slowMost = 2500 * time.Millisecond
 	// commitStuck is how old the append on its way may be before new records
 	// are refused at once, as they would wait behind it.
 	commitStuck = 1200 * time.Millisecond
@@ -94,6 +101,7 @@
 	ring     *ring.Ring[*commit]
 	patience patience
 	sentAt   atomic.Int64 // steady nanoseconds of the append on its way; 0 for none
+	slow     atomic.Bool  // as the newest look at the log showed
 	lostAt   atomic.Int64 // steady nanoseconds of the last append whose fate stayed open
 }
 
@@ -192,7 +200,7 @@
 // effect, and sending it again makes a slow store slower.
 func (c *committer) try(ctx context.Context, records []jobs.Record) error {
 	limit := c.patience.limit()
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, max(limit, slowMost))
 	defer cancel()
 	sent := c.clock.Now()
 	answer := make(chan error, 1)
@@ -206,8 +214,10 @@
 	return err
 }
 
-// await waits for an append's answer, and looks at the log meanwhile.
+// await waits for an append's answer, and looks at the log meanwhile: for limit, or
+// longer if the look shows that the store is slow.
 func (c *committer) await(ctx context.Context, answer <-chan error, records []jobs.Record, limit time.Duration) error {
+	sent := c.clock.Now()
 	look := time.NewTimer(limit / 2)
 	defer look.Stop()
 	select {
@@ -215,10 +225,28 @@
 		return c.unlessRead(ctx, err, records)
 	case <-look.C:
 	}
+	began := c.clock.Now()
 	if found, err := c.inLog(ctx, records); found || err != nil {
 		return err
 	}
-	return c.unlessRead(ctx, <-answer, records)
+	if c.sawSlow(began) {
+		limit = max(limit, slowMost)
+	}
+	end := time.NewTimer(limit - c.clock.Now().Sub(sent))
+	defer end.Stop()
+	select {
+	case err := <-answer:
+		return c.unlessRead(ctx, err, records)
+	case <-end.C:
+		return c.unlessRead(ctx, ErrUnknown, records)
+	}
+}
+
+// sawSlow notes whether a look that began at some time showed a slow store.
+func (c *committer) sawSlow(began time.Time) bool {
+	slow := c.clock.Now().Sub(began) >= slowLook
+	c.slow.Store(slow)
+	return slow
 }
 
 // unlessRead resolves an append without an answer by a look at the log.
--- a/batch/findout.go
+++ b/batch/findout.go
@@ -15,8 +15,8 @@
 	// findOutEvery is how often the log is looked at for a group whose answer is
 	// missing, and sendAgainEvery how often the group is sent again: a store that loses
 	// answers, or carries appends out seconds late, mostly takes one of several. A
-	// record that is written twice is harmless. A slow store is given as long as its
-	// answers let expect.
+	// record that is written twice is harmless. A slow store takes all
+	// in the end, and repeats only fill it.
 	findOutEvery   = 120 * time.Millisecond
 	sendAgainEvery = 400 * time.Millisecond
 	// findOutMost bounds it all; callers stay for three seconds.
@@ -83,13 +83,15 @@
 				return nil
 			}
 		case <-looks.C:
+			began := c.clock.Now()
 			if found, err := c.inLog(ctx, records); found && err == nil {
 				return nil
 			}
+			c.sawSlow(began)
 		case <-ctx.Done():
 			return ErrUnknown
 		}
-		if time.Since(sentAt) >= max(sendAgainEvery, c.patience.usualLimit()) {
+		if !c.slow.Load() && time.Since(sentAt) >= max(sendAgainEvery, c.patience.usualLimit()) {
 			sentAt, resent = time.Now(), true
 			go func() { again <- c.sendAgain(ctx, records) }()
 		}
--- a/batch/outage_test.go
+++ b/batch/outage_test.go
@@ -150,6 +150,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				store := &lateStore{late: c.late, known: map[string]bool{}}
 				made := newCommitter(store, NewClock(), 1)
+				virtual(made.clock)
 				made.readBack = store.holds
 				go made.run(ctx)
 				call, left := context.WithTimeout(ctx, 2850*time.Millisecond)
@@ -177,6 +178,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &lateStore{late: []time.Duration{20 * time.Second, 20 * time.Second, 0}, known: map[string]bool{}}
 		made := newCommitter(store, NewClock(), 1)
+		virtual(made.clock)
 		made.readBack = store.holds
 		go made.run(ctx)
 		go func() { _ = made.write(ctx, jobs.CancelRecord("first")) }()
@@ -188,3 +190,52 @@
 		time.Sleep(25 * time.Second)
 	})
 }
+
+// slowStore works on one append at a time, each of which takes long, as reads do.
+type slowStore struct {
+	Store
+	busy    chan struct{}
+	appends atomic.Int64
+}
+
+const slowAnswer = 300 * time.Millisecond
+
+func (s *slowStore) Append(ctx context.Context, _ int, _ []jobs.Record, _ *Fence) error {
+	s.appends.Add(1)
+	s.busy <- struct{}{}
+	time.Sleep(slowAnswer)
+	<-s.busy
+	if ctx.Err() != nil {
+		return ErrUnknown
+	}
+	return nil
+}
+
+func (s *slowStore) holds(context.Context, []jobs.Record) (bool, error) {
+	time.Sleep(slowAnswer)
+	return false, nil
+}
+
+// Behind six appends of other instances one takes two seconds in a slow store. It
+// is waited for, and sent once: repeats would keep the store full.
+func TestSlowStoreIsNotSentRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &slowStore{busy: make(chan struct{}, 1)}
+		for range 6 {
+			go func() { _ = store.Append(ctx, 1, nil, nil) }()
+		}
+		time.Sleep(time.Millisecond)
+		made := newCommitter(store, NewClock(), 1)
+		virtual(made.clock)
+		made.readBack = store.holds
+		go made.run(ctx)
+		call, left := context.WithTimeout(ctx, 2850*time.Millisecond)
+		defer left()
+		is.NoErr(made.write(call, jobs.CancelRecord("a")))
+		is.Equal(store.appends.Load(), int64(7))
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
