Tests of shared links that notice what they did not

Faults planted in copies showed checks that could not fail: a full queue passed for silence, the grant was looked at in sessions that had ended, a drain for a loss. The way between holder and keeper now buffers as connections do; a holder that is silent alone, grants, times, quiet reports and acknowledgements have tests of their own.

--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -42,6 +42,7 @@
 	workers  map[string]*simWorker
 	cut      map[string]bool // "instance worker" or "instance *" or "* worker"
 	frozen   map[string]bool // instances that do nothing
+	silent   map[string]bool // instances whose sessions carry nothing, though they go on
 	slow     map[string]time.Duration
 	done     map[jobs.TaskKey]int
 	noted    map[jobs.TaskKey]bool // an end as done was acknowledged
@@ -49,7 +50,7 @@
 }
 
 func newSimWorkers(count int, taskTime time.Duration) *simWorkers {
-	s := &simWorkers{taskTime: taskTime, workers: map[string]*simWorker{}, cut: map[string]bool{}, frozen: map[string]bool{},
+	s := &simWorkers{taskTime: taskTime, workers: map[string]*simWorker{}, cut: map[string]bool{}, frozen: map[string]bool{}, silent: map[string]bool{},
 		slow: map[string]time.Duration{}, done: map[jobs.TaskKey]int{}, noted: map[jobs.TaskKey]bool{}, newest: map[jobs.TaskKey]int{}}
 	for number := range count {
 		s.workers[fmt.Sprintf("w%04d", number)] = &simWorker{runs: map[startKey]time.Time{}, highest: map[jobs.TaskKey]int{}, callers: map[string]bool{}}
@@ -79,6 +80,27 @@
 	s.frozen[instance] = frozen
 }
 
+// setSilent holds up what an instance and the holder say to each other.
+func (s *simWorkers) setSilent(instance string, silent bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.silent[instance] = silent
+}
+
+// setSlow makes the way from an instance to the workers take longer.
+func (s *simWorkers) setSlow(instance string, way time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.slow[instance] = way
+}
+
+// mute reports whether nothing passes between the holder and an instance.
+func (s *simWorkers) mute(instance string) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.frozen[instance] || s.silent[instance]
+}
+
 func (s *simWorkers) isFrozen(instance string) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -99,6 +121,19 @@
 	return count
 }
 
+// drivenWorkers are the workers that an instance held last.
+func (s *simWorkers) drivenWorkers(instance string) map[string]bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	list := map[string]bool{}
+	for id, worker := range s.workers {
+		if worker.last == instance {
+			list[id] = true
+		}
+	}
+	return list
+}
+
 func (s *simWorkers) sum(of func(*simWorker) int) int {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -378,15 +413,24 @@
 	return near, nil
 }
 
+// pump carries messages one way. While nothing passes they wait, as in the buffers of
+// a connection: who sends does not notice.
 func (f *sharedFleet) pump(name string, from, to *relay.Stream, empty func() proto.Message, end func()) {
 	defer end()
-	for {
-		message := empty()
-		if from.Receive(message) != nil {
-			return
+	waiting := make(chan proto.Message, 1000)
+	f.sessions.Go(func() {
+		defer close(waiting)
+		for {
+			message := empty()
+			if from.Receive(message) != nil {
+				return
+			}
+			waiting <- message
 		}
+	})
+	for message := range waiting {
 		time.Sleep(time.Millisecond)
-		for f.workers.isFrozen(name) && f.ctx.Err() == nil {
+		for f.workers.mute(name) && f.ctx.Err() == nil && !f.isGone(name) {
 			time.Sleep(10 * time.Millisecond)
 		}
 		if to.Send(message) != nil {
@@ -395,6 +439,12 @@
 	}
 }
 
+func (f *sharedFleet) isGone(name string) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.gone[name]
+}
+
 // kill ends an instance: its sessions break and no new one is accepted.
 func (f *sharedFleet) kill(name string) {
 	f.lock.Lock()
--- a/batch/sharing_test.go
+++ b/batch/sharing_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/teaselcleat/teaselcleat/placing"
 	"github.com/teaselcleat/teaselcleat/relay"
 	"github.com/teaselcleat/teaselcleat/relay/relaypb"
 )
@@ -63,6 +64,7 @@
 		is.Equal(f.done(), 40)
 		is.Equal(f.doubles(), 0)
 		is.Equal(f.ended("job_ended"), int64(1))
+		is.Equal(f.workers.sum(func(w *simWorker) int { return len(w.ended) }), 0) // all ends are acknowledged
 	})
 }
 
@@ -100,9 +102,11 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inFleet(t, manyWorkers, 8, 8*time.Second, func(f *sharedFleet, is *is.I) {
+				lost := f.busiest()
+				f.workers.setSlow(lost, 100*time.Millisecond)
 				f.submit("a1", 400)
-				time.Sleep(20 * time.Millisecond) // starts are under way
-				c.lose(f, f.busiest())
+				time.Sleep(90 * time.Millisecond) // its starts are under way, others are answered
+				c.lose(f, lost)
 				time.Sleep(4 * time.Second)
 				f.submit("a2", 100)
 				time.Sleep(14 * time.Second)
@@ -115,18 +119,64 @@
 	}
 }
 
-// A frozen instance that wakes gives no orders: its grant is over.
-func TestKeeperGivesNoOrdersBeyondItsGrant(t *testing.T) {
-	inFleet(t, manyWorkers, 8, time.Second, func(f *sharedFleet, is *is.I) {
-		lost := f.busiest()
-		f.workers.setFrozen(lost, true)
-		time.Sleep(5 * time.Second)
-		f.others[lost].keepings.lock.Lock()
-		for open := range f.others[lost].keepings.open {
-			is.True(!open.granted())
+// An instance that the holder cannot be heard of goes on for its grant and no longer,
+// though it reaches its workers. What runs on one that only it reaches is not begun
+// elsewhere before the last lease that it may have renewed has lapsed.
+func TestSilentHolderEndsTheGrant(t *testing.T) {
+	inFleet(t, manyWorkers, 8, 12*time.Second, func(f *sharedFleet, is *is.I) {
+		f.submit("a1", manyWorkers)
+		time.Sleep(time.Second)
+		silent := f.busiest()
+		for id := range f.workers.drivenWorkers(silent) {
+			for name := range f.others {
+				f.workers.setCut(name, id, name != silent)
+			}
+			f.workers.setCut("a", id, true)
 		}
-		f.others[lost].keepings.lock.Unlock()
-		is.Equal(f.workers.drivenBy(2 * holdWait)[lost], 0)
+		f.workers.setSilent(silent, true)
+		time.Sleep(keepGrant + holdWait + 200*time.Millisecond)
+		is.Equal(f.workers.drivenBy(100 * time.Millisecond)[silent], 0)
+		time.Sleep(20 * time.Second)
+		is.Equal(f.doubles(), 0)
+		is.True(f.lapsed() > 0)
+	})
+}
+
+// Without a grant no order leaves, whatever it is.
+func TestNoOrderWithoutAGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link, workers, _ := scriptedLink(taken)
+		granted := true
+		link.host.granted = func() bool { return granted }
+		_, _, err := link.hold(t.Context(), 0)
+		is.NoErr(err)
+		granted = false
+		_, _, err = link.hold(t.Context(), 0)
+		is.Equal(err, errNotGranted)
+		is.Equal(link.try(t.Context(), nil, func(context.Context) error { return nil }), errNotGranted)
+		is.Equal(workers.calls, 1)
+	})
+}
+
+// The grant counts from when the holder's message was asked for, not from when it
+// came: one that was long under way grants nothing.
+func TestGrantCountsFromTheEcho(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := NewClock()
+		virtual(clock)
+		k := &keeping{clock: clock, out: newKeptBox()}
+		is.True(!k.granted()) // nothing was heard yet
+		asked := clock.Now().UnixNano()
+		time.Sleep(keepGrant / 2)
+		k.hear(&relaypb.Orders{Clock: 1, Echo: asked})
+		is.True(k.granted())
+		time.Sleep(keepGrant / 2)
+		is.True(!k.granted())
+		is.True(k.abandoned())
+		k.hear(&relaypb.Orders{Clock: 1, Echo: asked})
+		is.True(!k.granted())
 	})
 }
 
@@ -169,6 +219,9 @@
 		leaving := f.busiest()
 		f.others[leaving].Drain()
 		time.Sleep(2 * time.Second)
+		is.Equal(f.others[leaving].Status().Keeping, 0)
+		is.Equal(f.holder.instance.Status().Sharing.Keepers[leaving], 0)
+		is.Equal(f.workers.drivenBy(100 * time.Millisecond)[leaving], 0)
 		f.kill(leaving)
 		is.Equal(f.ended("run_stopped"), int64(0))
 		time.Sleep(9 * time.Second)
@@ -256,12 +309,106 @@
 		go func() { _ = far.Send(&relaypb.Kept{Clock: 1}) }()
 		<-events // opened
 		<-events // its first word
-		for range sessionOrders + 1 {
+		go func() {
+			for far.Receive(&relaypb.Orders{}) == nil {
+				time.Sleep(keepBeat / 6)
+			}
+		}()
+		begin := time.Now()
+		for range sessionOrders + 3*messageOrders {
 			s.acknowledge("w", 1)
 		}
 		ended, ok := (<-events).(sessionEnded)
 		is.True(ok)
 		is.True(ended.session == s)
+		is.True(time.Since(begin) < keepBeat) // not for its silence
+	})
+}
+
+// Of a worker without runs one report is passed on after an order to it was answered,
+// asked for late enough to tell what became of it; then no more until there is news.
+func TestReportsThatSayNothingNewAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	box := newKeptBox()
+	at := func(ms int) time.Time { return testNow.Add(time.Duration(ms) * time.Millisecond) }
+	put := func(ms int, running int) int {
+		answer := holdAnswered{worker: "w", sent: at(ms)}
+		answer.report.Running = make([]placing.RunningTask, running)
+		box.put(answer)
+		return len(box.take())
+	}
+	is.Equal(put(0, 0), 1)
+	is.Equal(put(2000, 0), 0)
+	box.ordered("w", at(3000))
+	is.Equal(put(2900, 0), 1) // sent before the order: it tells nothing of it
+	is.Equal(put(3100, 0), 1)
+	is.Equal(put(4100, 0), 1) // the holder knows by now that the order was answered
+	is.Equal(put(6000, 0), 0)
+	is.Equal(put(8000, 1), 1)
+	is.Equal(put(10000, 1), 1)
+	is.Equal(put(12000, 0), 1) // what ran is gone
+	is.Equal(put(14000, 0), 0)
+	box.put(unreachable{worker: "w"})
+	is.Equal(len(box.take()), 1)
+	is.Equal(put(16000, 0), 1) // it answers again
+}
+
+// Of each worker the newest word alone waits to be told, so the box is bounded.
+func TestOnlyTheNewestWordOfAWorkerWaits(t *testing.T) {
+	is := is.New(t)
+	box := newKeptBox()
+	for range 100 {
+		box.put(holdAnswered{worker: "w", report: HoldReport{Running: make([]placing.RunningTask, 1)}})
+	}
+	box.put(unreachable{worker: "w"})
+	list := box.take()
+	is.Equal(len(list), 1)
+	_, silent := list[0].(unreachable)
+	is.True(silent)
+	for number := range 3 * boxReports {
+		box.put(unreachable{worker: string(rune('a' + number))})
+	}
+	is.Equal(len(box.take()), boxReports)
+	is.Equal(len(box.take()), boxReports)
+}
+
+// Times in reports lead to no conclusion too early: a hold counts as sent no later
+// than it was, and a lease as lapsed no earlier.
+func TestTimesOfReportsAreOnTheSafeSide(t *testing.T) {
+	is := is.New(t)
+	way := 30 * time.Millisecond // of a message
+	ahead := time.Hour           // of the keeping instance's clock
+	k := &keeping{clock: NewClock(), out: newKeptBox()}
+	now := testNow.Add(ahead + way)
+	k.clock.steady = func() time.Time { return now }
+	k.hear(&relaypb.Orders{Clock: testNow.UnixNano(), Echo: 1})
+	sent, lapse := now.Add(time.Second), now.Add(7*time.Second)
+	k.out.put(holdAnswered{worker: "w", sent: sent, lapseAt: lapse, report: HoldReport{Running: make([]placing.RunningTask, 1)}})
+	now = now.Add(2 * time.Second)
+	message := k.message(false)
+	came := now.Add(way - ahead) // on the holder's clock
+	report := reportOf(message.Reports[0], came)
+	is.True(!report.sent.After(sent.Add(-ahead)))
+	is.True(report.sent.After(sent.Add(-ahead - 2*way)))
+	is.True(!report.lapseAt.Before(lapse.Add(-ahead)))
+	is.True(report.lapseAt.Before(lapse.Add(2*way - ahead)))
+}
+
+// The word of an instance that does not drive a worker counts for nothing: it may
+// show runs that have ended since.
+func TestWordOfAFormerKeeperIsNotTaken(t *testing.T) {
+	inFleet(t, manyWorkers, 8, time.Second, func(f *sharedFleet, is *is.I) {
+		d := f.holder.drivers
+		worker := "w0001"
+		keeper := d.workers[worker].keeper
+		is.True(d.drives(keeper, worker))
+		is.True(!d.drives(ownKeeper, worker))
+		is.True(!d.drives("keeper-of-old", worker))
+		d.workers[worker].state = drivenLeaving
+		is.True(d.drives(keeper, worker)) // until its last word
+		d.workers[worker].state = drivenByNone
+		is.True(!d.drives(keeper, worker))
+		d.workers[worker].state = drivenByOne
 	})
 }
 
