--- a/batch/sharing_test.go
+++ b/batch/sharing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -309,11 +310,13 @@
 		go func() { _ = far.Send(&relaypb.Kept{Clock: 1}) }()
 		<-events // opened
 		<-events // its first word
-		go func() {
+		var reading sync.WaitGroup
+		reading.Go(func() {
 			for far.Receive(&relaypb.Orders{}) == nil {
 				time.Sleep(keepBeat / 6)
 			}
-		}()
+		})
+		defer reading.Wait()
 		begin := time.Now()
 		for range sessionOrders + 3*messageOrders {
 			s.acknowledge("w", 1)
