--- a/batch/claim.go
+++ b/batch/claim.go
@@ -63,13 +63,8 @@
 			continue
 		}
 		vote.urge(i.asked.Load())
-		if !vote.claim(i.work.heardAt(), now) {
-			continue
-		}
-		if !vote.vacated() && i.holderStands(ctx, vote.term) {
-			vote.stands(i.clock.Now())
-			continue
+		if vote.claim(i.work.heardAt(), now) {
+			i.claimTerm(ctx, vote.term)
 		}
-		i.claimTerm(ctx, vote.term)
 	}
 }
--- a/batch/election.go
+++ b/batch/election.go
@@ -14,10 +14,6 @@
 	// instance claims the term: four renewals, or two while the store takes
 	// 0.3 s for each. A holder replaced too soon loses nothing that runs.
 	termSilence = 1100 * time.Millisecond
-	// standMost is how long after the holder's last record its own word that it stands
-	// is taken: appends wait for up to two seconds while the store is slow, and for
-	// up to six if they are carried out late.
-	standMost = 4 * time.Second
 	// claimAgain is the pause between an instance's claims, longer than an
 	// append takes while the store is slow.
 	claimAgain = 700 * time.Millisecond
@@ -43,7 +39,6 @@
 	term      jobs.Term
 	changedAt time.Time // when the term last changed or was renewed, as seen here
 	claimedAt time.Time
-	stoodAt   time.Time // when the holder last said that it stands
 	urged     int64     // epoch of the holder that asked for its term to be claimed
 	vacantAt  time.Time // since when the term is known to be vacant
 }
@@ -67,9 +62,6 @@
 	if term == e.term && !e.changedAt.IsZero() {
 		return
 	}
-	if term.Epoch != e.term.Epoch {
-		e.stoodAt = time.Time{}
-	}
 	stillOpen := term.Holder == "" && e.term.Holder == "" && term.Epoch == e.term.Epoch
 	e.term = term
 	e.changedAt = now
@@ -114,22 +106,9 @@
 // vacant reports whether nobody holds the term: it was handed over, its holder
 // was an earlier life of this instance, has asked for it or is silent.
 func (e *election) vacant(heardAt time.Time) bool {
-	return e.vacated() || e.silent(heardAt)
+	return e.term.Holder == "" || e.isUrged() || e.formerLife() || heardAt.Sub(e.changedAt) >= termSilence
 }
 
-// vacated reports whether the holder is known to be one no more.
-func (e *election) vacated() bool { return e.term.Holder == "" || e.isUrged() || e.formerLife() }
-
-// silent reports whether nothing was heard of the holder for too long: it neither
-// wrote nor said that it stands.
-func (e *election) silent(heardAt time.Time) bool {
-	written := heardAt.Sub(e.changedAt)
-	return written >= termSilence && heardAt.Sub(e.stoodAt) >= termSilence || written >= standMost
-}
-
-// stands takes the holder's word that it reaches the store.
-func (e *election) stands(now time.Time) { e.stoodAt = now }
-
 // formerLife reports whether the holder was an earlier life of this instance.
 func (e *election) formerLife() bool {
 	name, _, _ := strings.Cut(e.term.Holder, "/")
--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -187,8 +187,6 @@
 		return &relaypb.Answer{Fate: i.relayedWrite(ctx, body.Write)}
 	case *relaypb.Call_Look:
 		return i.relayedLook(ctx, body.Look.Job)
-	case *relaypb.Call_Stand:
-		return &relaypb.Answer{Fate: i.relayedStand(body.Stand.Epoch)}
 	case *relaypb.Call_Claim:
 		return &relaypb.Answer{Fate: i.relayedClaim(ctx, body.Claim.Epoch)}
 	}
--- a/batch/succession.go
+++ b/batch/succession.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/teaselcleat/teaselcleat/jobs"
 	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/relay/relaypb"
 )
@@ -22,9 +18,6 @@
 	// claimCheck bounds the read by which an instance makes sure that it reaches the
 	// store before it promises to claim.
 	claimCheck = 200 * time.Millisecond
-	// standTimeout bounds the question to a silent holder: one that is gone must not
-	// cost the claim much time, the way there and back takes some milliseconds.
-	standTimeout = 100 * time.Millisecond
 )
 
 // seekSuccessor has another instance claim the term once this holder is turned
@@ -44,39 +37,6 @@
 	}
 }
 
-// holderStands asks the holder of a term that has not written for some time whether
-// it still reaches the store. While the store takes seconds for an append nobody
-// could do better, and each change of the holder stops placing for a second: a day
-// with a slow store had three of them in four seconds.
-func (i *Instance) holderStands(ctx context.Context, term jobs.Term) bool {
-	name, _, _ := strings.Cut(term.Holder, "/")
-	i.foldLock.Lock()
-	address := i.fold.table.Instances()[name].Address
-	i.foldLock.Unlock()
-	if address == "" {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, standTimeout)
-	defer cancel()
-	answer, err := i.helpers.client.Call(ctx, address, &relaypb.Call{Body: &relaypb.Call_Stand{Stand: &relaypb.Stand{Epoch: term.Epoch}}})
-	stands := err == nil && answer.Fate == relaypb.Fate_FATE_DONE
-	i.metrics.count("term.asked")
-	if stands {
-		i.chronicle.write(i.log, "holder_stands", logrus.Fields{"epoch": term.Epoch, "holder": term.Holder})
-	}
-	return stands
-}
-
-// relayedStand says whether this instance places under a term and was answered by
-// the store lately.
-func (i *Instance) relayedStand(epoch int64) relaypb.Fate {
-	heard := i.clock.Now().Sub(i.work.heardAt()) < termSilence
-	if i.leading.Load() && i.term().Epoch == epoch && heard && !i.draining.Load() {
-		return relaypb.Fate_FATE_DONE
-	}
-	return relaypb.Fate_FATE_NOT_DONE
-}
-
 // askToClaim asks other instances to claim the term that follows an epoch, until
 // one says that it will.
 func (i *Instance) askToClaim(ctx context.Context, epoch int64) bool {
