--- a/command/explain.go
+++ b/command/explain.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"path/filepath"
 	"sort"
@@ -14,8 +12,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/teaselcleat/teaselcleat/batch"
 )
 
 // logTimes is the format of a log line's time.
@@ -173,41 +169,3 @@
 	}
 	return found
 }
-
-// statusTimeout bounds one instance's answer.
-const statusTimeout = 3 * time.Second
-
-// runFleet prints what each instance on the platform believes.
-func runFleet(args []string, to output) int {
-	flags := newFlags("fleet", to)
-	if code, ok := parse(flags, args, 1, 1000, to); !ok {
-		return code
-	}
-	client := &http.Client{Timeout: statusTimeout}
-	code := ExitDone
-	for _, address := range flags.Args() {
-		status, err := fetchStatus(client, address)
-		if err != nil {
-			fmt.Fprintf(to.err, "fleet: %s: %s\n", address, err.Error())
-			code = ExitFailed
-			continue
-		}
-		fmt.Fprintf(to.out, "instance=%s leading=%t epoch=%d holder=%s config=%d ready=%t draining=%t log_age_ms=%d jobs=%v waiting=%v\n",
-			status.Instance, status.Leading, status.Term.Epoch, status.Term.Holder, status.ConfigVersion, status.Ready,
-			status.Draining, status.LogAgeMS, status.Jobs, status.Waiting)
-	}
-	return code
-}
-
-func fetchStatus(client *http.Client, address string) (*batch.Status, error) {
-	response, err := client.Get("http://" + address + "/status")
-	if err != nil {
-		return nil, eris.Wrap(err, "status")
-	}
-	defer response.Body.Close()
-	status := &batch.Status{}
-	if err := json.NewDecoder(response.Body).Decode(status); err != nil {
-		return nil, eris.Wrap(err, "status")
-	}
-	return status, nil
-}
--- /dev/null
+++ b/command/fleet.go
@@ -0,0 +1,66 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/teaselcleat/teaselcleat/batch"
+)
+
+// statusTimeout bounds one instance's answer.
+const statusTimeout = 3 * time.Second
+
+// runFleet prints what each instance on the platform believes.
+func runFleet(args []string, to output) int {
+	flags := newFlags("fleet", to)
+	if code, ok := parse(flags, args, 1, 1000, to); !ok {
+		return code
+	}
+	client := &http.Client{Timeout: statusTimeout}
+	code := ExitDone
+	for _, address := range flags.Args() {
+		status, err := fetchStatus(client, address)
+		if err != nil {
+			fmt.Fprintf(to.err, "fleet: %s: %s\n", address, err.Error())
+			code = ExitFailed
+			continue
+		}
+		printStatus(to.out, status)
+	}
+	return code
+}
+
+// printStatus prints a line for the instance and, if it places, one for each
+// instance that drives workers for it.
+func printStatus(out io.Writer, status *batch.Status) {
+	fmt.Fprintf(out, "instance=%s leading=%t epoch=%d holder=%s config=%d ready=%t draining=%t log_age_ms=%d jobs=%v waiting=%v keeping=%d",
+		status.Instance, status.Leading, status.Term.Epoch, status.Term.Holder, status.ConfigVersion, status.Ready,
+		status.Draining, status.LogAgeMS, status.Jobs, status.Waiting, status.Keeping)
+	if status.Leading {
+		fmt.Fprintf(out, " shared=%t own=%d moving=%d", status.Sharing.Shared, status.Sharing.Own, status.Sharing.Moving)
+	}
+	fmt.Fprintln(out)
+	for _, keeper := range slices.Sorted(maps.Keys(status.Sharing.Keepers)) {
+		fmt.Fprintf(out, "holder=%s keeper=%s workers=%d\n", status.Instance, keeper, status.Sharing.Keepers[keeper])
+	}
+}
+
+func fetchStatus(client *http.Client, address string) (*batch.Status, error) {
+	response, err := client.Get("http://" + address + "/status")
+	if err != nil {
+		return nil, eris.Wrap(err, "status")
+	}
+	defer response.Body.Close()
+	status := &batch.Status{}
+	if err := json.NewDecoder(response.Body).Decode(status); err != nil {
+		return nil, eris.Wrap(err, "status")
+	}
+	return status, nil
+}
--- /dev/null
+++ b/command/fleet_test.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/batch"
+)
+
+func TestFleetTellsWhoKeepsWhat(t *testing.T) {
+	is := is.New(t)
+	status := batch.Status{Instance: "a", Leading: true, Sharing: batch.SharingStatus{Shared: true, Own: 1, Moving: 2, Keepers: map[string]int{"c": 118, "b": 121}}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.URL.Path, "/status")
+		is.NoErr(json.NewEncoder(w).Encode(status))
+	}))
+	defer server.Close()
+	var out, failed bytes.Buffer
+	code := runFleet([]string{strings.TrimPrefix(server.URL, "http://"), "127.0.0.1:1"}, output{out: &out, err: &failed})
+	is.Equal(code, ExitFailed) // one does not answer, and is named
+	is.True(strings.Contains(failed.String(), "127.0.0.1:1"))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 3)
+	is.True(strings.HasSuffix(lines[0], "keeping=0 shared=true own=1 moving=2"))
+	is.Equal(lines[1], "holder=a keeper=b workers=121")
+	is.Equal(lines[2], "holder=a keeper=c workers=118")
+}
