--- a/batch/sharing_test.go
+++ b/batch/sharing_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/teaselcleat/teaselcleat/placing"
 	"github.com/teaselcleat/teaselcleat/relay"
 	"github.com/teaselcleat/teaselcleat/relay/relaypb"
 )
@@ -143,44 +142,6 @@
 	})
 }
 
-// Without a grant no order leaves, whatever it is.
-func TestNoOrderWithoutAGrant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		link, workers, _ := scriptedLink(taken)
-		granted := true
-		link.host.granted = func() bool { return granted }
-		_, _, err := link.hold(t.Context(), 0)
-		is.NoErr(err)
-		granted = false
-		_, _, err = link.hold(t.Context(), 0)
-		is.Equal(err, errNotGranted)
-		is.Equal(link.try(t.Context(), nil, func(context.Context) error { return nil }), errNotGranted)
-		is.Equal(workers.calls, 1)
-	})
-}
-
-// The grant counts from when the holder's message was asked for, not from when it
-// came: one that was long under way grants nothing.
-func TestGrantCountsFromTheEcho(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		clock := NewClock()
-		virtual(clock)
-		k := &keeping{clock: clock, out: newKeptBox()}
-		is.True(!k.granted()) // nothing was heard yet
-		asked := clock.Now().UnixNano()
-		time.Sleep(keepGrant / 2)
-		k.hear(&relaypb.Orders{Clock: 1, Echo: asked})
-		is.True(k.granted())
-		time.Sleep(keepGrant / 2)
-		is.True(!k.granted())
-		is.True(k.abandoned())
-		k.hear(&relaypb.Orders{Clock: 1, Echo: asked})
-		is.True(!k.granted())
-	})
-}
-
 // A worker to which only the way from its keeper is cut is driven by another.
 func TestWorkerThatItsKeeperCannotReachIsDrivenByAnother(t *testing.T) {
 	inFleet(t, manyWorkers, 8, 9*time.Second, func(f *sharedFleet, is *is.I) {
@@ -328,75 +289,6 @@
 	})
 }
 
-// Of a worker without runs one report is passed on after an order to it was answered,
-// asked for late enough to tell what became of it; then no more until there is news.
-func TestReportsThatSayNothingNewAreNotPassedOn(t *testing.T) {
-	is := is.New(t)
-	box := newKeptBox()
-	at := func(ms int) time.Time { return testNow.Add(time.Duration(ms) * time.Millisecond) }
-	put := func(ms int, running int) int {
-		answer := holdAnswered{worker: "w", sent: at(ms)}
-		answer.report.Running = make([]placing.RunningTask, running)
-		box.put(answer)
-		return len(box.take())
-	}
-	is.Equal(put(0, 0), 1)
-	is.Equal(put(2000, 0), 0)
-	box.ordered("w", at(3000))
-	is.Equal(put(2900, 0), 1) // sent before the order: it tells nothing of it
-	is.Equal(put(3100, 0), 1)
-	is.Equal(put(4100, 0), 1) // the holder knows by now that the order was answered
-	is.Equal(put(6000, 0), 0)
-	is.Equal(put(8000, 1), 1)
-	is.Equal(put(10000, 1), 1)
-	is.Equal(put(12000, 0), 1) // what ran is gone
-	is.Equal(put(14000, 0), 0)
-	box.put(unreachable{worker: "w"})
-	is.Equal(len(box.take()), 1)
-	is.Equal(put(16000, 0), 1) // it answers again
-}
-
-// Of each worker the newest word alone waits to be told, so the box is bounded.
-func TestOnlyTheNewestWordOfAWorkerWaits(t *testing.T) {
-	is := is.New(t)
-	box := newKeptBox()
-	for range 100 {
-		box.put(holdAnswered{worker: "w", report: HoldReport{Running: make([]placing.RunningTask, 1)}})
-	}
-	box.put(unreachable{worker: "w"})
-	list := box.take()
-	is.Equal(len(list), 1)
-	_, silent := list[0].(unreachable)
-	is.True(silent)
-	for number := range 3 * boxReports {
-		box.put(unreachable{worker: string(rune('a' + number))})
-	}
-	is.Equal(len(box.take()), boxReports)
-	is.Equal(len(box.take()), boxReports)
-}
-
-// Times in reports lead to no conclusion too early: a hold counts as sent no later
-// than it was, and a lease as lapsed no earlier.
-func TestTimesOfReportsAreOnTheSafeSide(t *testing.T) {
-	is := is.New(t)
-	way := 30 * time.Millisecond // of a message
-	ahead := time.Hour           // of the keeping instance's clock
-	k := &keeping{clock: NewClock(), out: newKeptBox()}
-	now := testNow.Add(ahead + way)
-	k.clock.steady = func() time.Time { return now }
-	k.hear(&relaypb.Orders{Clock: testNow.UnixNano(), Echo: 1})
-	sent, lapse := now.Add(time.Second), now.Add(7*time.Second)
-	k.out.put(holdAnswered{worker: "w", sent: sent, lapseAt: lapse, report: HoldReport{Running: make([]placing.RunningTask, 1)}})
-	now = now.Add(2 * time.Second)
-	message := k.message(false)
-	came := now.Add(way - ahead) // on the holder's clock
-	report := reportOf(message.Reports[0], came)
-	is.True(!report.sent.After(sent.Add(-ahead)))
-	is.True(report.sent.After(sent.Add(-ahead - 2*way)))
-	is.True(!report.lapseAt.Before(lapse.Add(-ahead)))
-	is.True(report.lapseAt.Before(lapse.Add(2*way - ahead)))
-}
-
 // The word of an instance that does not drive a worker counts for nothing: it may
 // show runs that have ended since.
 func TestWordOfAFormerKeeperIsNotTaken(t *testing.T) {
