Read as a newcomer: what is open is bounded by count; names; a field nobody read

An append that is 1.2 s old cannot be met any more, as the next group overtakes it after 0.6 s; eight open groups of a part are the bound now (TestOpenGroupsAreBounded).

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -136,7 +136,7 @@
 	committer := startCommitter(t, store)
 	first := make(chan error, 1)
 	go func() { first <- committer.write(context.Background(), jobs.CancelRecord("first")) }()
-	for committer.sentAt.Load() == 0 {
+	for committer.open.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	gone, cancel := context.WithCancel(context.Background())
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -35,12 +35,13 @@
 	// slowLook is how long a look takes at least if the store is slow. Appends of a
 	// part then wait for each other for up to two seconds, so the answer is waited for
 	// until slowMost, and nothing is sent again: with repeats after 0.6 s the parts
-	// were full for six seconds, and of 230 hand-ins 160 were told neither yes nor no.
+	// were full for six seconds, and 161 of some 280 answers said neither yes nor no.
 	slowLook = 60 * time.Millisecond
 	slowMost = 2500 * time.Millisecond
-	// commitStuck is how old the append on its way may be before new records
-	// are refused at once, as they would wait behind it.
-	commitStuck = 1200 * time.Millisecond
+	// commitOpen bounds the groups of a part whose fate is open; new records are
+	// refused at once beyond it. A group is open for three seconds at most, and the
+	// next is sent after 0.6 s.
+	commitOpen = 8
 )
 
 // detailPart is the part with the progress of jobs, the last one. The placing
@@ -100,7 +101,7 @@
 	part     int
 	ring     *ring.Ring[*commit]
 	patience patience
-	sentAt   atomic.Int64 // steady nanoseconds of the append on its way; 0 for none
+	open     atomic.Int32 // groups on their way, or whose fate is being found out
 	slow     atomic.Bool  // as the newest look at the log showed
 	lostAt   atomic.Int64 // steady nanoseconds of the last append whose fate stayed open
 }
@@ -120,7 +121,7 @@
 // takes effect; ErrUnknown that it may.
 func (c *committer) write(ctx context.Context, record jobs.Record) error {
 	made := &commit{record: record, result: make(chan error, 1)}
-	if c.stuck() || !c.ring.Offer(made) {
+	if c.open.Load() >= commitOpen || !c.ring.Offer(made) {
 		return ErrNotDone
 	}
 	select {
@@ -135,11 +136,6 @@
 	return ErrUnknown
 }
 
-func (c *committer) stuck() bool {
-	sent := c.sentAt.Load()
-	return sent != 0 && c.clock.Now().UnixNano()-sent > int64(commitStuck)
-}
-
 func (c *committer) run(ctx context.Context) {
 	for {
 		first, ok := c.ring.Take(ctx)
@@ -150,11 +146,10 @@
 		if len(group) == 0 {
 			continue
 		}
-		c.sentAt.Store(c.clock.Now().UnixNano())
+		c.open.Add(1)
 		overtaken := make(chan struct{})
 		go c.settle(ctx, group, overtaken)
 		<-overtaken
-		c.sentAt.Store(0)
 	}
 }
 
--- a/batch/division.go
+++ b/batch/division.go
@@ -16,7 +16,7 @@
 	}
 	d.lookedAt = now
 	d.changed = false
-	d.switchSharing(now)
+	d.switchSharing()
 	if d.shared {
 		d.openSessions(now)
 	}
@@ -27,13 +27,12 @@
 	d.count()
 }
 
-func (d *drivers) switchSharing(now time.Time) {
+func (d *drivers) switchSharing() {
 	shared := d.sharing.See(len(d.workers))
 	if shared == d.shared {
 		return
 	}
 	d.shared = shared
-	d.begunAt = now
 	d.leader.log.WithField("shared", shared).WithField("workers", len(d.workers)).Info("sharing_changed")
 }
 
--- a/batch/drivers.go
+++ b/batch/drivers.go
@@ -76,8 +76,7 @@
 	dial     func(ctx context.Context, address string, keep *relaypb.Keep) (*relay.Stream, error)
 	sharing  sharing.Switch
 	shared   bool
-	begunAt  time.Time // when sharing began
-	changed  bool      // sessions or workers are not as at the last division
+	changed  bool // sessions or workers are not as at the last division
 	lookedAt time.Time
 }
 
--- a/batch/findout.go
+++ b/batch/findout.go
@@ -26,6 +26,7 @@
 // settle sends a group and finds out what became of it, while any of its callers
 // waits. overtaken is closed once the next group need not wait any more.
 func (c *committer) settle(ctx context.Context, group []*commit, overtaken chan<- struct{}) {
+	defer c.open.Add(-1)
 	sent := make(chan error, 1)
 	go func() { sent <- c.append(ctx, group) }()
 	var err error
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -73,10 +74,8 @@
 	return k
 }
 
-// flag is a condition that other goroutines set.
-type flag interface{ Load() bool }
-
-func (k *keeping) run(ctx context.Context, draining flag) {
+// run serves the session; draining tells when this instance is about to stop.
+func (k *keeping) run(ctx context.Context, draining *atomic.Bool) {
 	var sending sync.WaitGroup
 	sending.Add(1)
 	go func() {
@@ -192,7 +191,7 @@
 }
 
 // send sends what there is to tell, and a beat if there is nothing.
-func (k *keeping) send(ctx context.Context, draining flag) {
+func (k *keeping) send(ctx context.Context, draining *atomic.Bool) {
 	beat := time.NewTicker(keepBeat)
 	defer beat.Stop()
 	for ctx.Err() == nil {
--- a/batch/outage_test.go
+++ b/batch/outage_test.go
@@ -239,3 +239,26 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Groups whose fate is open are bounded: beyond that a record is refused at once,
+// as certainly not sent.
+func TestOpenGroupsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &lateStore{late: []time.Duration{20 * time.Second}, known: map[string]bool{}}
+		made := newCommitter(store, NewClock(), 1)
+		virtual(made.clock)
+		made.readBack = store.holds
+		go made.run(ctx)
+		made.open.Store(commitOpen)
+		is.Equal(made.write(ctx, jobs.CancelRecord("a")), ErrNotDone)
+		is.Equal(store.sent, 0)
+		made.open.Store(0)
+		go func() { _ = made.write(ctx, jobs.CancelRecord("b")) }()
+		time.Sleep(10 * time.Second)
+		is.Equal(made.open.Load(), int32(0)) // given up after its time
+		cancel()
+		time.Sleep(25 * time.Second)
+	})
+}
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -65,16 +65,16 @@
 	slices.SortFunc(ranked, func(a, b Instance) int {
 		return compare(score(b.Name, "", b.weight()), score(a.Name, "", a.weight()), a.Name, b.Name)
 	})
-	total, homeless := 0, 0
+	total, elsewhere := 0, 0
 	for zone, count := range workers {
 		total += count
 		if !slices.ContainsFunc(ranked, func(i Instance) bool { return i.Zone == zone }) {
-			homeless += count
+			elsewhere += count
 		}
 	}
 	room := map[string]float64{} // still asked for, in workers
 	for zone, count := range workers {
-		room[zone] = float64(count) + float64(homeless)*float64(count)/float64(max(1, total-homeless))
+		room[zone] = float64(count) + float64(elsewhere)*float64(count)/float64(max(1, total-elsewhere))
 	}
 	var wanted []string
 	for _, instance := range ranked {
