Process tests choose ports that no outgoing connection takes; a failure prints logs

Its log, printed now, says bind: address already in use: the port was free when chosen, from the range of outgoing connections, and taken before the process began to listen.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -76,13 +77,31 @@
 		strings.TrimPrefix(server.URL, "http://")))
 }
 
+const (
+	// firstPort and lastPort bound the ports that instances listen on. They lie below
+	// those that the system gives to outgoing connections: one of these may take a port
+	// between its choice and the instance's start, which then ends.
+	firstPort = 20000
+	lastPort  = 32000
+	// portStride sets test processes apart that run at the same time.
+	portStride = 131
+)
+
+// portsGiven counts the ports that were tried, so that none is given twice.
+var portsGiven atomic.Int64
+
 func freePort(t testing.TB) int {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		given := int64(os.Getpid())*portStride + portsGiven.Add(1)
+		port := firstPort + int(given%(lastPort-firstPort))
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			listener.Close()
+			return port
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	t.Fatal("no port is free")
+	return 0
 }
 
 func (f *fleet) startInstance(name string) *frontInstance {
@@ -128,6 +147,19 @@
 	}
 }
 
+// printLogs shows the end of what each instance wrote, for a failure.
+func (f *fleet) printLogs() {
+	const last = 2000 // bytes
+	for _, instance := range f.instances {
+		content, err := os.ReadFile(instance.log.Name())
+		if err != nil {
+			f.t.Logf("%s: %s", instance.name, err)
+			continue
+		}
+		f.t.Logf("%s:\n%s", instance.name, content[max(0, len(content)-last):])
+	}
+}
+
 func (f *fleet) until(what string, done func() bool) {
 	f.t.Helper()
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(lookEvery) {
@@ -135,6 +167,7 @@
 			return
 		}
 	}
+	f.printLogs()
 	f.t.Fatalf("never came: %s", what)
 }
 
