--- a/batch/division.go
+++ b/batch/division.go
@@ -44,9 +44,7 @@
 		counts[known.entry.Zone]++
 	}
 	i := d.leader.instance
-	i.foldLock.Lock()
-	instances := i.fold.table.Instances()
-	i.foldLock.Unlock()
+	instances := i.instances()
 	var candidates []sharing.Instance
 	for name, instance := range instances {
 		if name == i.settings.Name || instance.Address == "" || now.Before(d.resting[name].until) {
@@ -99,10 +97,7 @@
 	if !d.shared {
 		return nil, false
 	}
-	i := d.leader.instance
-	i.foldLock.Lock()
-	instances := i.fold.table.Instances()
-	i.foldLock.Unlock()
+	instances := d.leader.instance.instances()
 	for name, s := range d.sessions {
 		if !s.draining {
 			s.most = sharing.Most(instances[name].CPUShare)
@@ -140,9 +135,10 @@
 	if s := d.sessions[chosen]; s != nil {
 		s.workers++
 	}
-	d.watch(known)
+	to := d.driverOf(known)
+	to.watch(known.entry)
 	for _, order := range known.starts {
-		d.sendStart(known, order, true)
+		to.start(order, true)
 	}
 }
 
--- a/batch/drivers.go
+++ b/batch/drivers.go
@@ -39,6 +39,17 @@
 func (s stopAnswered) about() string  { return s.worker }
 func (p paceAnswered) about() string  { return p.pace.Worker }
 
+// driver carries out what the holder of the term asks of workers: a set of links of
+// its own, or a session with an instance that keeps them.
+type driver interface {
+	watch(entry placing.WorkerEntry)
+	forget(worker string)
+	start(order placing.Start, open bool) // open: it may have been sent before, by another
+	stop(order placing.Stop)
+	pace(order placing.Pace)
+	acknowledge(worker string, number int64)
+}
+
 // driven is one worker as the holder of the term reaches it.
 type driven struct {
 	entry  placing.WorkerEntry
@@ -133,20 +144,21 @@
 		}
 		moved := known.entry.Address != entry.Address
 		known.entry = entry
-		if known.state == drivenByOne && (moved || known.keeper == ownKeeper) {
-			d.watch(known)
+		if to := d.driverOf(known); to != nil && (moved || known.keeper == ownKeeper) {
+			to.watch(entry)
 		}
 	}
 }
 
-func (d *drivers) watch(known *driven) {
-	if known.keeper == ownKeeper {
-		d.own.watch(known.entry)
-		return
+// driverOf is who may give orders to a worker now; nil if nobody may.
+func (d *drivers) driverOf(known *driven) driver {
+	if known == nil || known.state != drivenByOne {
+		return nil
 	}
-	if s := d.sessions[known.keeper]; s != nil {
-		s.watch(known.entry)
+	if known.keeper == ownKeeper {
+		return d.own
 	}
+	return d.sessions[known.keeper] // it is there: when it ends, its workers have no driver
 }
 
 // forget drops a worker that need not be reached any more.
@@ -155,18 +167,13 @@
 	if known == nil {
 		return
 	}
-	delete(d.workers, worker)
-	if known.state == drivenByNone {
-		return
+	if to := d.driverOf(known); to != nil {
+		to.forget(worker)
 	}
-	if known.keeper == ownKeeper {
-		d.own.forget(worker)
-		return
-	}
-	if s := d.sessions[known.keeper]; s != nil {
+	if s := d.sessions[known.keeper]; s != nil && known.state != drivenByNone {
 		s.workers--
-		s.forget(worker)
 	}
+	delete(d.workers, worker)
 }
 
 // start has a start sent. It is remembered until it is answered, so that who
@@ -178,18 +185,8 @@
 		return
 	}
 	known.starts[startKey{task: order.Task, run: order.Run}] = order
-	if known.state == drivenByOne {
-		d.sendStart(known, order, false)
-	}
-}
-
-func (d *drivers) sendStart(known *driven, order placing.Start, open bool) {
-	if known.keeper == ownKeeper {
-		d.own.start(order, open)
-		return
-	}
-	if s := d.sessions[known.keeper]; s != nil {
-		s.start(order, open)
+	if to := d.driverOf(known); to != nil {
+		to.start(order, false)
 	}
 }
 
@@ -203,42 +200,21 @@
 // stop has a stop sent; one that meets no driver comes again from the engine. The
 // start of that run is not sent any more.
 func (d *drivers) stop(order placing.Stop) {
-	known := d.workers[order.Worker]
-	if known == nil {
-		return
-	}
-	delete(known.starts, startKey{task: order.Task, run: order.Run})
-	if known.state != drivenByOne {
-		return
-	}
-	if known.keeper == ownKeeper {
-		d.own.stop(order)
-	} else if s := d.sessions[known.keeper]; s != nil {
-		s.stop(order)
+	d.answered(order.Worker, startKey{task: order.Task, run: order.Run})
+	if to := d.driverOf(d.workers[order.Worker]); to != nil {
+		to.stop(order)
 	}
 }
 
 func (d *drivers) pace(order placing.Pace) {
-	known := d.workers[order.Worker]
-	if known == nil || known.state != drivenByOne {
-		return
-	}
-	if known.keeper == ownKeeper {
-		d.own.pace(order)
-	} else if s := d.sessions[known.keeper]; s != nil {
-		s.pace(order)
+	if to := d.driverOf(d.workers[order.Worker]); to != nil {
+		to.pace(order)
 	}
 }
 
 func (d *drivers) acknowledge(worker string, number int64) {
-	known := d.workers[worker]
-	if known == nil || known.state != drivenByOne {
-		return
-	}
-	if known.keeper == ownKeeper {
-		d.own.acknowledge(worker, number)
-	} else if s := d.sessions[known.keeper]; s != nil {
-		s.acknowledge(worker, number)
+	if to := d.driverOf(d.workers[worker]); to != nil {
+		to.acknowledge(worker, number)
 	}
 }
 
--- a/batch/helpers.go
+++ b/batch/helpers.go
@@ -170,14 +170,18 @@
 	return part.refresh(ctx, 0) == nil
 }
 
-func (i *Instance) helperAddresses() []string {
+// instances are those that have made themselves known, by name. Some may be gone.
+func (i *Instance) instances() map[string]jobs.Instance {
 	i.foldLock.Lock()
-	known := i.fold.table.Instances()
-	i.foldLock.Unlock()
+	defer i.foldLock.Unlock()
+	return i.fold.table.Instances()
+}
+
+func (i *Instance) helperAddresses() []string {
 	if i.helpers.alone() {
 		return nil
 	}
-	return i.helpers.choose(known, i.settings.Name)
+	return i.helpers.choose(i.instances(), i.settings.Name)
 }
 
 // Relayed answers a call of another instance. It asks no third one.
--- a/placing/report.go
+++ b/placing/report.go
@@ -79,7 +79,6 @@
 			run.percent, run.basePercent, run.baseAt = row.Percent, row.Percent, now
 		}
 	}
-	run.reportedAt = now
 	if row.Checkpoint != "" {
 		e.keepCheckpoint(run.task, row.Checkpoint)
 	}
