The log tells how long a run was at work when its worker was lost, and what went with it

Cause of the change: of a run that was over with its worker the log said neither how long it had worked nor what else ran there, so a task that ends its workers could not be told from workers that fail by themselves. Change: worker_lost with the number of runs and the worker's silence; run_over with the run's number, whether its worker had it, and its time at work. No decision changes. Ruled out: a count of lost workers for each task in the log; run_over lines of a job give it, and a count would be a change of state. Before: run_over KEY worker reborn. After: run_over KEY worker reborn run 1 started true worked_ms 20 percent 0 (TestLossOfAWorkerIsToldWithItsRuns).

--- a/batch/drivers.go
+++ b/batch/drivers.go
@@ -260,7 +260,7 @@
 		}
 		known.state = drivenByNone
 		known.floor = floor
-		d.leader.engine.Unreachable(id, floor)
+		d.leader.engine.Unreachable(id, floor, now)
 	}
 }
 
--- a/batch/link.go
+++ b/batch/link.go
@@ -260,7 +260,7 @@
 }
 
 func (u unreachable) apply(l *leader, now time.Time) {
-	l.engine.Unreachable(u.worker, l.drivers.lapse(u.worker, u.lapseAt))
+	l.engine.Unreachable(u.worker, l.drivers.lapse(u.worker, u.lapseAt), now)
 	l.drivers.silent(u.worker, now)
 }
 
--- /dev/null
+++ b/placing/loss_test.go
@@ -0,0 +1,42 @@
+package placing
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// The log has to tell how long a run was at work when its worker was lost, and what
+// else was lost with it.
+func TestLossOfAWorkerIsToldWithItsRuns(t *testing.T) {
+	is := is.New(t)
+	now := testStart
+	engine := testEngine(1)
+	engine.Load([]*jobs.Job{{Submission: testJob("0000000000000001", 1, testStep(2, 1))}}, true, now)
+	engine.List([]WorkerEntry{testWorker("w1", "r1-1")}, now)
+	engine.Report("w1", now, nil, nil, time.Time{}, now)
+	is.Equal(len(startAll(engine, now)), 2)
+
+	engine.Unreachable("w1", now.Add(6*time.Second), now.Add(20*time.Millisecond))
+	engine.Reborn("w1", now.Add(3*time.Second))
+	plan := engine.Decide(now.Add(3 * time.Second))
+
+	is.Equal(details(plan, "worker_lost"), []string{"worker reborn runs 2 silent_ms 2980"})
+	over := details(plan, "run_over")
+	is.Equal(len(over), 2)
+	is.True(strings.HasSuffix(over[0], "worker reborn run 1 started true worked_ms 20 percent 0"))
+}
+
+func details(plan Plan, event string) []string {
+	var list []string
+	for _, note := range plan.Notes {
+		if note.Event == event {
+			list = append(list, note.Detail)
+		}
+	}
+	return list
+}
--- a/placing/node.go
+++ b/placing/node.go
@@ -28,6 +28,7 @@
 	listed    bool
 	reported  bool           // it has answered a hold of this term
 	answering bool           // its last hold was answered
+	silentAt  time.Time      // since when holds are not answered; zero while they are
 	lapseAt   time.Time      // when everything there has lapsed, unless renewed
 	runs      []*run         // that may be there
 	used      jobs.Resources // what they occupy
@@ -124,17 +125,25 @@
 
 // Unreachable says that a hold was not answered. lapseAt is when everything
 // there has lapsed if nothing is renewed.
-func (e *Engine) Unreachable(worker string, lapseAt time.Time) {
+func (e *Engine) Unreachable(worker string, lapseAt, now time.Time) {
 	known := e.nodes[worker]
 	if known == nil {
 		return
 	}
-	known.answering = false
+	known.silent(now)
 	if !lapseAt.IsZero() {
 		known.lapseAt = lapseAt
 	}
 }
 
+// silent notes that a node does not answer.
+func (n *node) silent(now time.Time) {
+	n.answering = false
+	if n.silentAt.IsZero() {
+		n.silentAt = now
+	}
+}
+
 // Reborn says that another life answers at the worker's address, so this one
 // and all that ran there are over.
 func (e *Engine) Reborn(worker string, now time.Time) {
@@ -142,11 +151,9 @@
 	if known == nil {
 		return
 	}
-	known.answering = false
+	known.silent(now)
 	known.listed = false
-	for _, run := range append([]*run(nil), known.runs...) {
-		e.resolve(run, "worker reborn", now)
-	}
+	e.lose(known, "worker reborn", now)
 	e.dropNodes()
 }
 
@@ -157,9 +164,7 @@
 		if known.answering || known.lapseAt.IsZero() || now.Before(known.lapseAt) || len(known.runs) == 0 {
 			continue
 		}
-		for _, run := range append([]*run(nil), known.runs...) {
-			e.resolve(run, "lease lapsed", now)
-		}
+		e.lose(known, "lease lapsed", now)
 		dropped = dropped || !known.listed
 	}
 	if dropped {
--- a/placing/report.go
+++ b/placing/report.go
@@ -20,6 +20,7 @@
 	}
 	known.reported = true
 	known.answering = true
+	known.silentAt = time.Time{}
 	if !lapseAt.IsZero() {
 		known.lapseAt = lapseAt
 	}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -161,7 +161,7 @@
 	if !job.state.Final() {
 		e.touch(job)
 		if !task.done {
-			e.note("run_over", job, run.node.entry.ID, task.key.String()+" "+why)
+			e.note("run_over", job, run.node.entry.ID, task.key.String()+" "+why+" "+run.history(now))
 		}
 	}
 	if task.step.spec.Gang && !task.done {
--- a/placing/world_workers_test.go
+++ b/placing/world_workers_test.go
@@ -40,7 +40,7 @@
 	}, func(_, lost bool) {
 		if lost {
 			h.answered[id] = false
-			h.engine.Unreachable(id, h.lapseAt[id])
+			h.engine.Unreachable(id, h.lapseAt[id], w.now)
 		}
 		w.later(60*time.Millisecond, func() { w.hold(h, worker) })
 	})
