scheduler: a job whose runs are lost soon after their start is given up

Cause: the same class as of the crash loop: a run that is lost with a member counted for nothing and was queued again without a bound, however soon after its start. Ruled out: counting all losses, as jobs run for hours and outlive workers; counting those of many jobs together, as a rack or the way to it is at fault. Change: three early losses in a row (within a minute of the start) end a job that may be repeated, as three failures do. A loss later, or losses of more than three jobs within 10 s, clear it. One that may not be repeated ends at its first loss, as before. Looked at and bounded already: requests (four tries and the retry budget). The count is the memory of one term here, as blame is.

--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -15,6 +15,7 @@
 	preemptions int
 	failures    int
 	blamed      []*node
+	earlyLosses int  // runs in a row that were lost soon after their start
 	progress    Time // run time that checkpoints preserved
 	resume      bool
 	latestStart Time // deadline less the estimated rest, when last queued
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -28,7 +28,8 @@
 	runs         map[string]*run
 	reservations []*reservation
 	quarantined  int
-	witnessDirty bool // a worker came or went, or the targets changed
+	losses       []loss // early ones of the last lossSpan, in order
+	witnessDirty bool   // a worker came or went, or the targets changed
 	seq          int64
 	epoch        int64
 	logOut       bool
@@ -251,6 +252,8 @@
 	case RunNotStarted:
 		s.requeueNotStarted(j, blamed, now)
 		return nil
+	case RunLost:
+		return s.runLost(r, now)
 	}
 	return s.requeue(j, e.Result == RunPreempted, now)
 }
@@ -277,6 +280,17 @@
 	return nil
 }
 
+func (s *Scheduler) runLost(r *run, now Time) []Action {
+	j := r.job
+	ends := s.blameLoss(r, now)
+	if !ends || j.pinned() {
+		return s.requeue(j, false, now)
+	}
+	s.forget(j)
+	return []Action{End{Job: j.spec.ID, Outcome: structs.OutcomeRan, Reason: structs.ReasonJobFails,
+		Detail: "lost its workers in " + strconv.Itoa(j.earlyLosses) + " runs"}}
+}
+
 func (s *Scheduler) runFailed(r *run, blamed *node, now Time) []Action {
 	j := r.job
 	actions, ends := s.blameFailure(j, blamed, now)
