Starts that come to nothing are tried less and less often

The task was placed, written down and ordered again at once. Ruled out: resting the worker, as the refusal of one task says nothing of it; counting such a start as an attempt, as nothing ran. Change: from the second fruitless start in a row a task, or its gang, waits 0.1 s, doubling up to 2 s. An accepted start clears it; of a lasting task an end later than 1 s does.

--- a/placing/job.go
+++ b/placing/job.go
@@ -54,6 +54,7 @@
 	run        *run // nil unless a run may exist
 	avoid      string
 	losses     losses
+	pausing    pausing
 }
 
 // phase is how far a run got.
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -145,7 +145,7 @@
 		if step.readyAt.IsZero() {
 			step.readyAt = now
 		}
-		tasks := step.free()
+		tasks := step.free(now)
 		if len(tasks) == 0 {
 			continue
 		}
@@ -200,9 +200,10 @@
 	return b
 }
 
-// free returns the tasks that can be placed now: of a gang all or none. The list
+// free returns the tasks that can be placed now: of a gang all or none; without those
+// that pause after starts that came to nothing. The list
 // may be the step's own; it is not to be changed.
-func (s *step) free() []*task {
+func (s *step) free(now time.Time) []*task {
 	if s.untouched() {
 		return s.tasks
 	}
@@ -211,7 +212,7 @@
 		if task.done {
 			continue
 		}
-		if task.run == nil {
+		if task.run == nil && !now.Before(task.pausing.until) {
 			list = append(list, task)
 		} else if s.spec.Gang {
 			return nil
@@ -220,11 +221,11 @@
 	return list
 }
 
-// untouched reports whether no task of the step runs or has ended, as of most that
-// wait.
+// untouched reports whether no task of the step runs, pauses or has ended, as of most
+// that wait.
 func (s *step) untouched() bool {
 	for _, task := range s.tasks {
-		if task.done || task.run != nil {
+		if task.done || task.run != nil || task.pausing.fruitless > 0 {
 			return false
 		}
 	}
--- a/placing/report.go
+++ b/placing/report.go
@@ -182,6 +182,9 @@
 		return
 	}
 	task.judged = end.Run
+	if task.step.spec.Lasting && end.How == EndFailed {
+		task.lastingEnded(run, now)
+	}
 	if end.Checkpoint != "" {
 		e.keepCheckpoint(task, end.Checkpoint)
 	}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -89,6 +89,9 @@
 	run.phase = phaseRunning
 	run.startedAt = now
 	run.percentAt = now
+	if !run.task.step.spec.Lasting {
+		run.task.pausing = pausing{}
+	}
 }
 
 func (e *Engine) refused(run *run, result StartResult, now time.Time) {
@@ -102,6 +105,8 @@
 		run.node.fullUntil = now.Add(fullPause)
 	case StartBusy:
 		run.node.health.busy(now)
+	case StartRefused:
+		run.task.startFailed(now)
 	}
 	e.resolve(run, "start refused", now)
 }
