A start is not ordered onto a worker that has shrunk since it was placed

Cause: workers may offer less while they run. A placement counts on the room of its moment, and its start is ordered once its record is durable, seconds later while the store is slow; a worker that does not guard its room takes it all the same. Ruled out: stopping what runs on a worker that shrank, which nobody asks for; keeping some room free on all workers.

--- a/placing/runs.go
+++ b/placing/runs.go
@@ -49,6 +49,11 @@
 	if run.phase != phasePlanned || run.task.run != run {
 		return
 	}
+	if !run.node.entry.Capacity.Fits(run.node.used) {
+		// It has shrunk since; one that does not guard its room would start the task.
+		e.resolve(run, "no room any more", now)
+		return
+	}
 	run.phase = phaseOrdered
 	run.orderedAt = now
 	run.resumed = run.task.checkpoint != ""
