Processes meet tasks that end their workers, in a test and in the soak

Cause of the change: the model of the decision cannot show that the links tell it of lost workers as they are: a connection that ends, another life at the same address, the term passing on meanwhile. Change: stand-in workers live on machines that end and come back under another ID; a test kills the holder of the term while a task ends its workers; the soak hands such tasks in.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -25,7 +26,8 @@
 	t         testing.TB
 	store     *standin.KeyedStore
 	address   string // of the store
-	workers   []*standin.TaskWorker
+	lock      sync.Mutex
+	workers   []*standin.TaskWorker // all lives so far, the present ones among them
 	instances []*frontInstance
 }
 
@@ -68,13 +70,7 @@
 }
 
 func (f *fleet) addWorker(index int) {
-	worker := standin.NewTaskWorker(fmt.Sprintf("w-%d", index), taskTime)
-	server := httptest.NewServer(worker)
-	f.t.Cleanup(server.Close)
-	f.workers = append(f.workers, worker)
-	f.store.Put("keyed.servers", worker.ID, fmt.Appendf(nil,
-		`{"service":"pool","address":%q,"zone":"z1","state":"ready","capacity":{"cpu":64000,"mem_mb":131072,"gpu":8},"labels":["a","r1-1"]}`,
-		strings.TrimPrefix(server.URL, "http://")))
+	f.addLife(newMachine(f, fmt.Sprintf("w-%d", index)).begin())
 }
 
 const (
@@ -246,7 +242,7 @@
 
 func (f *fleet) starts(task string) int {
 	count := 0
-	for _, worker := range f.workers {
+	for _, worker := range f.allWorkers() {
 		count += worker.Starts(task)
 	}
 	return count
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -26,12 +26,14 @@
 	accepted []string
 	unknown  []string // may or may not have been accepted
 	refused  []string // told that they never run
+	fatal    []string // accepted, and end their workers
 	next     int
 }
 
-// Kills, freezes, planned stops, outages and lost answers of the store, one
-// after the other: every accepted job ends as done, every refused one is never
-// started, and no task is started again after it was done.
+// Kills, freezes, planned stops, outages and lost answers of the store, and tasks that
+// end their workers, one after the other: every accepted job ends as done, every refused
+// one is never started, no task is started again after it was done, and those that end
+// their workers are given up after few.
 func TestPlatformSoak(t *testing.T) {
 	s := &soak{fleet: newFleet(t, 3, 4), random: rand.New(rand.NewPCG(*soakSeed, 2))}
 	for round := range *soakRounds {
@@ -44,6 +46,12 @@
 	for _, id := range s.accepted {
 		s.until("done: "+id, func() bool { return s.state(s.live(), id) == "done" })
 	}
+	for _, id := range s.fatal {
+		s.until("given up: "+id, func() bool { return s.state(s.live(), id) == "failed" })
+		if starts := s.starts(id + ".0.0.0"); starts > crashStartsMost {
+			t.Errorf("job %s, which ends its workers, was started %d times", id, starts)
+		}
+	}
 	for _, id := range s.refused {
 		if starts := s.starts(id + ".0.0.0"); starts > 0 {
 			t.Errorf("job %s was refused as never to run, and started", id)
@@ -58,7 +66,7 @@
 // end as done: here none fails, so only runs that were stopped repeat.
 func (s *soak) checkStarts(id string) {
 	done := 0
-	for _, worker := range s.workers {
+	for _, worker := range s.allWorkers() {
 		done += worker.Done(id + ".0.1.0")
 	}
 	if done > 1 {
@@ -92,7 +100,7 @@
 
 func (s *soak) mishap(round int) {
 	victim := s.random.IntN(len(s.instances))
-	switch round % 5 {
+	switch round % 6 {
 	case 0:
 		s.replace(victim, syscall.SIGKILL)
 	case 1:
@@ -109,6 +117,17 @@
 		s.store.SetFaults(standin.StoreFaults{Keep: 5})
 	case 4:
 		s.replace(victim, syscall.SIGTERM)
+	case 5:
+		s.submitFatal()
+	}
+}
+
+// submitFatal hands in a job whose task ends its workers.
+func (s *soak) submitFatal() {
+	s.next++
+	id := fmt.Sprintf("%016x", s.next)
+	if status, _ := s.call(s.live(), http.MethodPost, id, "key-a", crashJob); status == http.StatusOK {
+		s.fatal = append(s.fatal, id)
 	}
 }
 
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -12,10 +12,12 @@
 
 // TaskWorker is a stand-in of one worker that runs tasks under leases, as the
 // users' platform has them. A task runs for RunTime and ends as done, or as
-// failed if its spec is "fail".
+// failed if its spec is "fail". One whose spec is "crash" ends the worker: Crash is
+// called, on a goroutine of its own.
 type TaskWorker struct {
 	ID      string
 	RunTime time.Duration
+	Crash   func()
 
 	mu      sync.Mutex
 	start   time.Time
@@ -75,6 +77,16 @@
 	return w.done[task]
 }
 
+// Halt ends all that runs without a trace, as when the worker loses power.
+func (w *TaskWorker) Halt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, run := range w.running {
+		run.timer.Stop()
+	}
+	clear(w.running)
+}
+
 // Running is the number of tasks at work.
 func (w *TaskWorker) Running() int {
 	w.mu.Lock()
@@ -134,6 +146,9 @@
 	made := &taskRun{run: order.Run, failed: strings.HasPrefix(order.Spec, "fail")}
 	made.timer = time.AfterFunc(w.RunTime, func() { w.finish(order.Task, made) })
 	w.running[order.Task] = made
+	if strings.HasPrefix(order.Spec, "crash") && w.Crash != nil {
+		go w.Crash()
+	}
 	writeReply(out, http.StatusOK, map[string]any{"clock_ms": w.clock()})
 }
 
