--- a/batch/config.go
+++ b/batch/config.go
@@ -21,6 +21,7 @@
 	MaxBodyBytes  int64
 	Queues        []Queue
 	Pools         []string          // of workers that are named
+	Unguarded     map[string]bool   // pools whose workers start what they are told, room or not
 	WorkspaceKeys map[string]string // API key to workspace
 	Guarantees    map[string]int64  // accelerators that belong to a workspace
 }
--- a/batch/handover_test.go
+++ b/batch/handover_test.go
@@ -23,6 +23,7 @@
 		engine: placing.New(instance.limits(), epoch, instance.clock.WallMS), events: ring.New[event](eventRing), pools: map[string]bool{}, entries: map[string]placing.WorkerEntry{}}
 	l.drivers = newDrivers(l)
 	l.writer = newFencedWriter(l, jobs.Term{Epoch: epoch, Holder: "a/1"}, 1)
+	l.listed = l.newList()
 	l.load(true)
 	l.start(ctx, l.writer.run)
 	return l
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -185,7 +185,7 @@
 	for _, pool := range config.Pools {
 		l.pools[pool] = true
 	}
-	l.engine.Configure(queues, config.Guarantees)
+	l.engine.Configure(queues, config.Guarantees, config.Unguarded)
 	l.offer(listChanged{})
 }
 
@@ -216,6 +216,7 @@
 		if !l.termStands() {
 			return
 		}
+		l.engine.ListSeen(l.listed.seenAt())
 		plan := l.engine.Decide(l.clock.Now())
 		l.carryOut(ctx, plan)
 		l.writer.renewIfDue(l.clock.Now())
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -33,6 +33,8 @@
 	nodeOrder  []*node // by ID, for decisions that repeat
 	queues     map[string]jobs.Queue
 	guarantees map[string]int64
+	unguarded  map[string]bool      // pools whose workers start what they are told, room or not
+	listSeen   time.Time            // as of when the list of workers is known
 	overdrawn  map[string]bool      // see drawGuarantees
 	learned    map[string]*estimate // by queue
 	sizes      map[string]*sizes    // by queue
@@ -127,12 +129,14 @@
 	Again       time.Duration    // when to ask again although nothing happens; 0: no need
 }
 
-// Configure takes the operators' queues and guarantees.
-func (e *Engine) Configure(queues []jobs.Queue, guarantees map[string]int64) {
+// Configure takes the operators' queues and guarantees, and the pools whose workers do
+// not guard their room.
+func (e *Engine) Configure(queues []jobs.Queue, guarantees map[string]int64, unguarded map[string]bool) {
 	for _, queue := range queues {
 		e.queues[queue.Name] = queue
 	}
 	e.guarantees = guarantees
+	e.unguarded = unguarded
 	for _, job := range e.active {
 		job.queue = e.queueOf(job.submission)
 	}
--- a/placing/place.go
+++ b/placing/place.go
@@ -53,7 +53,7 @@
 func (e *Engine) openView(now time.Time) *view {
 	nodes := make([]*node, 0, len(e.nodeOrder))
 	for _, known := range e.nodeOrder {
-		if known.open(now) {
+		if known.open(now) && e.roomKnown(known, now) {
 			nodes = append(nodes, known)
 		}
 	}
--- a/placing/resize_test.go
+++ b/placing/resize_test.go
@@ -84,3 +84,26 @@
 	c.steps(8)
 	is.Equal(c.waiting(hexID(2)), 0)
 }
+
+// The list of workers may be out of reach while progress can be written. Workers that do
+// not guard their room get nothing new then, as they may have shrunk; those that do go on.
+func TestUnguardedWorkerGetsNothingOnAnOldList(t *testing.T) {
+	for name, unguarded := range map[string]bool{"guarded": false, "unguarded": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(1)
+			c.engine.Configure(nil, nil, map[string]bool{"pool": unguarded})
+			c.engine.ListSeen(c.now)
+			c.submit(testJob(hexID(1), 1, testStep(1, 1)))
+			c.steps(2)
+			is.True(c.begun(hexID(1)))
+			c.now = c.now.Add(listTrust)
+			c.submit(testJob(hexID(2), 1, testStep(1, 1)))
+			c.steps(2)
+			is.Equal(c.begun(hexID(2)), !unguarded)
+			c.engine.ListSeen(c.now)
+			c.steps(2)
+			is.True(c.begun(hexID(2)))
+		})
+	}
+}
--- a/placing/urgent_test.go
+++ b/placing/urgent_test.go
@@ -194,7 +194,7 @@
 	for _, guarantee := range []int64{0, 8} {
 		is := is.New(t)
 		c := newCluster(1)
-		c.engine.Configure(nil, map[string]int64{"manchester": guarantee})
+		c.engine.Configure(nil, map[string]int64{"manchester": guarantee}, nil)
 		c.submit(testJob(hexID(1), 1, gangStep(4, 8)))
 		c.steps(200) // ten seconds of work on every accelerator
 		small := testJob(hexID(2), 0, testStep(1, 1))
@@ -211,7 +211,7 @@
 func TestGuaranteeIsTakenBackFromUrgentWorkBeyondItsOwn(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(2)
-	c.engine.Configure(nil, map[string]int64{"manchester": 16, "nashua": 16})
+	c.engine.Configure(nil, map[string]int64{"manchester": 16, "nashua": 16}, nil)
 	for index := range 8 {
 		c.submit(testJob(hexID(index+1), 0, testStep(8, 1)))
 	}
