Many tasks that end their workers at once do not excuse each other

Cause: a loss pointed at no task while more than three other workers fell silent with it, which is also what a series of such tasks looks like: each took five workers in place of three. Change: only workers that fell silent without a run that had just begun there speak for another cause.

--- a/placing/crash_test.go
+++ b/placing/crash_test.go
@@ -196,3 +196,26 @@
 	}
 	return count
 }
+
+// A whole series of such jobs comes at once. That many workers fall silent together is
+// explained by what had just begun on each, so every one of the jobs is given up after
+// its third loss, and sound work is finished. While workers that fell silent together
+// explained each other, 55 were lost for these jobs, and 99 sound runs with them, where
+// 33 and 47 are now.
+func TestStormOfTasksThatEndTheirWorkers(t *testing.T) {
+	is := is.New(t)
+	site := newCrashSite(crashCase{step: testStep(1, 1), workers: 48, mishap: func(s *crashSite) {
+		passed := s.now.Sub(testStart)
+		if passed <= 5*time.Second && passed%(500*time.Millisecond) == 0 {
+			s.storm[s.submit(1, testStep(1, 1))] = true
+		}
+	}})
+	site.play(90 * time.Second)
+	is.True(site.afterThird <= 2)
+	is.Equal(site.states()[jobs.StateFailed], 1+len(site.storm))
+	is.Equal(site.states()[jobs.StateDone], len(site.submitted)-1-len(site.storm))
+	for id := range site.storm {
+		is.Equal(site.table.Job(id).State(), jobs.StateFailed)
+	}
+	is.True(site.lost <= earlyLossesMost*(1+len(site.storm)))
+}
--- a/placing/crash_world_test.go
+++ b/placing/crash_world_test.go
@@ -23,6 +23,7 @@
 	back       time.Duration      // from the loss until another life answers; 0: crashBack
 	after      time.Duration      // from the start until the loss; 0: crashAfter
 	mishap     func(s *crashSite) // what else goes wrong, at every tick
+	workers    int                // 0: crashWorkers
 	harmless   bool               // the task does nothing to its workers
 }
 
@@ -68,7 +69,8 @@
 	submitted  []string
 	steps      map[string]jobs.Step
 	fatalJob   string
-	lost       int // workers that were lost under a fatal task
+	storm      map[string]bool // further jobs of its kind
+	lost       int             // workers that were lost under a fatal task
 	lostUnder  map[jobs.TaskKey]int
 	late       map[jobs.TaskKey]int // starts of a task after three workers were lost under it
 	lostWith   int                  // sound runs that were lost with them
@@ -80,8 +82,8 @@
 
 func newCrashSite(test crashCase) *crashSite {
 	s := &crashSite{crashCase: test, table: jobs.NewTable(), now: testStart, steps: map[string]jobs.Step{},
-		lostUnder: map[jobs.TaskKey]int{}, late: map[jobs.TaskKey]int{}}
-	for number := range crashWorkers {
+		storm: map[string]bool{}, lostUnder: map[jobs.TaskKey]int{}, late: map[jobs.TaskKey]int{}}
+	for number := range max(crashWorkers, test.workers) {
 		s.bear(fmt.Sprintf("w%d", number), 1)
 	}
 	s.takeTerm()
@@ -181,7 +183,7 @@
 
 // fatal reports whether a run ends its worker.
 func (s *crashSite) fatal(key jobs.TaskKey) bool {
-	return key.Job == s.fatalJob && !s.harmless && (s.all || key.Index == 0)
+	return (key.Job == s.fatalJob || s.storm[key.Job]) && !s.harmless && (s.all || key.Index == 0)
 }
 
 func (s *crashSite) work(life *crashLife) {
@@ -226,7 +228,7 @@
 	s.lost++
 	s.lostUnder[under]++
 	for key := range life.running {
-		if key.Job != s.fatalJob {
+		if !s.fatal(key) {
 			s.lostWith++
 		}
 	}
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -24,22 +24,22 @@
 // Engine is the state of the placing instance. Its methods are called by one
 // goroutine; now never runs backwards.
 type Engine struct {
-	limits     Limits
-	epoch      int64
-	wallMS     func(now time.Time) int64 // time of day at a moment of the steady clock
-	jobs       map[string]*job
-	active     []*job // jobs without a final state, in the order of acceptance
-	nodes      map[string]*node
-	nodeOrder  []*node // by ID, for decisions that repeat
-	queues     map[string]jobs.Queue
-	guarantees map[string]int64
-	unguarded  map[string]bool      // pools whose workers start what they are told, room or not
-	listSeen   time.Time            // as of when the list of workers is known
-	overdrawn  map[string]bool      // see drawGuarantees
-	learned    map[string]*estimate // by queue
-	sizes      map[string]*sizes    // by queue
-	unsteady   map[string]time.Time // by address: until when lives there count as unsteady
-	silences   []time.Time          // when workers fell silent lately, in order
+	limits      Limits
+	epoch       int64
+	wallMS      func(now time.Time) int64 // time of day at a moment of the steady clock
+	jobs        map[string]*job
+	active      []*job // jobs without a final state, in the order of acceptance
+	nodes       map[string]*node
+	nodeOrder   []*node // by ID, for decisions that repeat
+	queues      map[string]jobs.Queue
+	guarantees  map[string]int64
+	unguarded   map[string]bool      // pools whose workers start what they are told, room or not
+	listSeen    time.Time            // as of when the list of workers is known
+	overdrawn   map[string]bool      // see drawGuarantees
+	learned     map[string]*estimate // by queue
+	sizes       map[string]*sizes    // by queue
+	unsteady    map[string]time.Time // by address: until when lives there count as unsteady
+	unexplained []time.Time          // when workers fell silent lately without a run that had just begun, in order
 
 	urgentDemand demand
 	gangDemand   demand
--- a/placing/loss.go
+++ b/placing/loss.go
@@ -32,10 +32,10 @@
 	// outliveFactor times the longest time for which the task worked before a loss is
 	// when its next run has shown that it does not end its worker as the last one did.
 	outliveFactor = 2
-	// togetherMost is how many other workers may fall silent within earlyLoss of one for
-	// its loss to point at a task: more is a room without power, or this instance's own
-	// connections.
-	togetherMost = 3
+	// unexplainedMost is how many workers may fall silent within earlyLoss of one, without
+	// a run that had just begun there, for its loss to point at a task: more is a room
+	// without power, or this instance's own connections.
+	unexplainedMost = 3
 	// isolationPatience is how long a suspected task waits for an empty worker. Users
 	// expect a task whose turn has come to run within three seconds if there is room.
 	isolationPatience = 2 * time.Second
@@ -94,7 +94,7 @@
 	if worked, _ := run.worked(now); worked > counted.after {
 		counted.after = worked
 	}
-	if run.lostEarly() && e.silentBeside(run) <= togetherMost {
+	if run.lostEarly() && e.unexplainedAbout(run.node.silentAt) <= unexplainedMost {
 		counted.early++
 	}
 	task.setLosses(counted)
@@ -120,27 +120,26 @@
 	return silentAt.Sub(r.begun()) < earlyLoss
 }
 
-// silentBeside is how many workers, without those of the run's own gang, fell silent
-// about when the run's did.
-func (e *Engine) silentBeside(run *run) int {
+// unexplainedAbout is how many workers fell silent within earlyLoss of a moment without
+// a run that had just begun there.
+func (e *Engine) unexplainedAbout(at time.Time) int {
 	count := 0
-	for _, at := range e.silences {
-		if run.node.silentAbout(at) {
+	for _, other := range e.unexplained {
+		if other.Sub(at).Abs() < earlyLoss {
 			count++
 		}
 	}
-	own := map[*node]bool{run.node: true}
-	for _, member := range run.task.together() {
-		if member.run != nil && member.run.node.silentAbout(run.node.silentAt) {
-			own[member.run.node] = true
-		}
-	}
-	return count - len(own)
+	return count
 }
 
-// silentAbout reports whether a node fell silent about some moment.
-func (n *node) silentAbout(at time.Time) bool {
-	return !n.silentAt.IsZero() && n.silentAt.Sub(at).Abs() < earlyLoss
+// begins reports whether a run on the node began within earlyLoss before a moment.
+func (n *node) begins(at time.Time) bool {
+	for _, run := range n.runs {
+		if begun := run.begun(); !begun.IsZero() && at.Sub(begun) < earlyLoss {
+			return true
+		}
+	}
+	return false
 }
 
 // begun is when a run began to work at the earliest: the members of a gang wait for
--- a/placing/node.go
+++ b/placing/node.go
@@ -174,10 +174,12 @@
 		return
 	}
 	known.silentAt = now
-	for len(e.silences) > 0 && now.Sub(e.silences[0]) > unsteadyFor {
-		e.silences = e.silences[1:]
+	for len(e.unexplained) > 0 && now.Sub(e.unexplained[0]) > unsteadyFor {
+		e.unexplained = e.unexplained[1:]
+	}
+	if !known.begins(now) {
+		e.unexplained = append(e.unexplained, now)
 	}
-	e.silences = append(e.silences, now)
 }
 
 // Reborn says that another life answers at the worker's address, so this one
