--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -30,6 +30,7 @@
 	changed chan struct{}
 	starts  map[string]int // starts of each task
 	done    map[string]int // ends as done of each task
+	lost    map[string]int // of these, lost with the worker before they were taken note of
 	router  *mux.Router
 }
 
@@ -47,7 +48,7 @@
 // NewTaskWorker returns an idle worker.
 func NewTaskWorker(id string, runTime time.Duration) *TaskWorker {
 	w := &TaskWorker{ID: id, RunTime: runTime, start: time.Now(), running: map[string]*taskRun{},
-		highest: map[string]int{}, changed: make(chan struct{}), starts: map[string]int{}, done: map[string]int{}, router: mux.NewRouter()}
+		highest: map[string]int{}, changed: make(chan struct{}), starts: map[string]int{}, done: map[string]int{}, lost: map[string]int{}, router: mux.NewRouter()}
 	w.router.HandleFunc("/api/run-start", w.serveStart).Methods(http.MethodPost)
 	w.router.HandleFunc("/api/run-stop", w.serveStop).Methods(http.MethodPost)
 	w.router.HandleFunc("/api/hold", w.serveHold).Methods(http.MethodPost)
@@ -77,16 +78,31 @@
 	return w.done[task]
 }
 
-// Halt ends all that runs without a trace, as when the worker loses power.
+// Halt ends all that runs without a trace, as when the worker loses power. Ends that
+// were not taken note of are lost with it.
 func (w *TaskWorker) Halt() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for _, end := range w.ends {
+		if task := end.row[1].(string); end.row[3] == "done" {
+			w.lost[task]++
+		}
+	}
+	w.ends = nil
 	for _, run := range w.running {
 		run.timer.Stop()
 	}
 	clear(w.running)
 }
 
+// Lost is how many ends as done of a task were lost with the worker before anyone took
+// note of them.
+func (w *TaskWorker) Lost(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost[task]
+}
+
 // Running is the number of tasks at work.
 func (w *TaskWorker) Running() int {
 	w.mu.Lock()
