--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +24,10 @@
 	soakWorkers   = flag.Int("soak.workers", 4, "workers in the fault soak")
 )
 
+// sharedFrom is the number of workers from which the holder gives shares of them to
+// other instances.
+const sharedFrom = 480
+
 // soak is a fleet under mishaps with jobs handed in all the while.
 type soak struct {
 	*fleet
@@ -39,6 +45,9 @@
 // their workers are given up after few.
 func TestPlatformSoak(t *testing.T) {
 	s := &soak{fleet: newFleet(t, *soakInstances, *soakWorkers), random: rand.New(rand.NewPCG(*soakSeed, 2))}
+	if *soakWorkers >= sharedFrom {
+		s.until("shares given out", func() bool { return s.logged("msg=keeper_won") })
+	}
 	for round := range *soakRounds {
 		s.submit(3)
 		s.mishap(round)
@@ -79,6 +88,17 @@
 	}
 }
 
+// logged reports whether an instance has written some text to its log.
+func (s *soak) logged(text string) bool {
+	for _, instance := range s.instances {
+		content, err := os.ReadFile(instance.log.Name())
+		if err == nil && strings.Contains(string(content), text) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *soak) live() *frontInstance {
 	for {
 		instance := s.instances[s.random.IntN(len(s.instances))]
