A stand-in worker that has ended takes no order that was on its way

Change: a life that has ended breaks such an order off. Conclusion: the stand-in was wrong, the check stays as strict.

--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -20,6 +20,7 @@
 	Crash   func()
 
 	mu      sync.Mutex
+	halted  bool
 	start   time.Time
 	fence   int64
 	until   int64
@@ -89,6 +90,7 @@
 		}
 	}
 	w.ends = nil
+	w.halted = true
 	for _, run := range w.running {
 		run.timer.Stop()
 	}
@@ -130,6 +132,10 @@
 		return order, false
 	}
 	w.mu.Lock()
+	if w.halted {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler) // an order that was on its way; nothing is there to take it
+	}
 	if order.Fence < w.fence {
 		w.mu.Unlock()
 		w.refuse(out, "fence")
