A worker that leaves as it said is no loss to hold against a task

Cause: what did not end in time on a leaving worker was over with it, and counted against its task as if the worker had been lost; its address counted as unsteady. Ruled out: counting early ones, as nothing is started on a leaving worker. Change: a life that said that it leaves blames neither a task nor its address. Figures: TestWorkerThatLeavesBlamesNoTask failed before.

--- a/placing/loss.go
+++ b/placing/loss.go
@@ -61,15 +61,19 @@
 
 func (l losses) tooMany() bool { return l.early >= earlyLossesMost || l.all >= lossesMost }
 
-// lose takes that a node's life is over, and with it all that may be there.
+// lose takes that a node's life is over, and with it all that may be there. One that said
+// that it leaves has kept its word: that is no loss to hold against anyone.
 func (e *Engine) lose(known *node, why string, now time.Time) {
 	runs := append([]*run(nil), known.runs...)
 	if len(runs) > 0 {
 		e.plan.Notes = append(e.plan.Notes, Note{Event: "worker_lost", Worker: known.entry.ID,
 			Detail: fmt.Sprintf("%s runs %d %s", why, len(runs), known.silence(now))})
 	}
-	for _, run := range runs {
-		e.blame(run, now)
+	if !known.entry.Leaving {
+		for _, run := range runs {
+			e.blame(run, now)
+		}
+		e.markUnsteady(known.entry.Address, now)
 	}
 	for _, run := range runs {
 		e.resolve(run, why, now)
@@ -77,7 +81,6 @@
 	for _, run := range runs {
 		e.giveUp(run.task, now)
 	}
-	e.markUnsteady(known.entry.Address, now)
 }
 
 // blame counts the loss of a run's worker against its task. Each run counts once,
--- a/placing/loss_test.go
+++ b/placing/loss_test.go
@@ -40,3 +40,30 @@
 	}
 	return list
 }
+
+// A worker that leaves as it said takes along what did not end in time. That is nobody's
+// fault, and what comes to its address afterwards is not unsteady for it.
+func TestWorkerThatLeavesBlamesNoTask(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	c.submit(testJob(hexID(1), 1, testStep(1, 1)))
+	c.steps(2)
+	task := c.engine.jobs[hexID(1)].allTasks()[0]
+	leaving := task.run.node.entry
+	leaving.Leaving = true
+	leaving.Remaining = 100 * time.Millisecond
+	entries := []WorkerEntry{leaving}
+	for _, id := range c.ids {
+		if id != leaving.ID {
+			entries = append(entries, c.engine.nodes[id].entry)
+		}
+	}
+	c.engine.List(entries, c.now)
+	c.now = c.now.Add(100 * time.Millisecond)
+	c.engine.Unreachable(leaving.ID, c.now.Add(time.Second), c.now)
+	c.engine.List(entries[1:], c.now)
+	c.now = c.now.Add(2 * time.Second)
+	c.engine.Decide(c.now)
+	is.Equal(task.losses.all, 0)
+	is.Equal(len(c.engine.unsteady), 0)
+}
