--- a/placing/crash_test.go
+++ b/placing/crash_test.go
@@ -122,11 +122,7 @@
 // patience, where least would be lost with it.
 func TestSuspectGetsAWorkerOfItsOwn(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(1)
-	c.submit(testJob(hexID(1), 1, testStep(1, 1)))
-	c.steps(2)
-	suspect := c.engine.jobs[hexID(1)].allTasks()[0]
-	c.lose(suspect.run.node.entry.ID)
+	c, suspect := clusterWithSuspect()
 	c.submit(testJob(hexID(2), 1, testStep(20, 1)))
 	c.steps(2)
 	is.Equal(len(suspect.run.node.runs), 1) // alone, though others fit beside it
@@ -141,11 +137,7 @@
 
 func TestSuspectDoesNotWaitForAnEmptyWorkerForLong(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(1)
-	c.submit(testJob(hexID(1), 1, testStep(1, 1)))
-	c.steps(2)
-	suspect := c.engine.jobs[hexID(1)].allTasks()[0]
-	c.lose(suspect.run.node.entry.ID)
+	c, suspect := clusterWithSuspect()
 	c.submit(testJob(hexID(2), 1, wideGang(3, 6))) // a worker each
 	c.steps(1)
 	c.submit(testJob(hexID(3), 1, testStep(1, 1)))
@@ -162,22 +154,29 @@
 // What a holder of the term knows of a task's losses is on record with its next start.
 func TestLossesPassOnWithTheTerm(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(1)
-	submission := testJob(hexID(1), 1, testStep(1, 1))
-	c.submit(submission)
-	c.steps(2)
-	suspect := c.engine.jobs[hexID(1)].allTasks()[0]
-	c.lose(suspect.run.node.entry.ID)
-	record := c.engine.jobs[hexID(1)].record()
+	c, suspect := clusterWithSuspect()
+	job := suspect.step.job
+	record := job.record()
 
 	second := testEngine(2)
-	second.Load([]*jobs.Job{{Submission: submission, Progress: record.Value}}, FormerHandedOver, c.now)
+	second.Load([]*jobs.Job{{Submission: job.submission, Progress: record.Value}}, FormerHandedOver, c.now)
 	taken := second.jobs[hexID(1)].allTasks()[0]
 	is.Equal(taken.losses.all, 1)
 	is.Equal(taken.losses.early, 1)
 	is.True(taken.losses.suspected())
 }
 
+// clusterWithSuspect has four workers, and the task of job 1, which has just lost the
+// worker on which it began.
+func clusterWithSuspect() (*cluster, *task) {
+	c := newCluster(1)
+	c.submit(testJob(hexID(1), 1, testStep(1, 1)))
+	c.steps(2)
+	suspect := c.engine.jobs[hexID(1)].allTasks()[0]
+	c.lose(suspect.run.node.entry.ID)
+	return c, suspect
+}
+
 // lose ends a worker's life 10 ms after now; another answers at its address at once.
 func (c *cluster) lose(worker string) {
 	c.engine.Unreachable(worker, c.now.Add(6*time.Second), c.now.Add(10*time.Millisecond))
--- a/placing/loss.go
+++ b/placing/loss.go
@@ -32,19 +32,12 @@
 	// outliveFactor times the longest time for which the task worked before a loss is
 	// when its next run has shown that it does not end its worker as the last one did.
 	outliveFactor = 2
-	// unexplainedMost is how many workers may fall silent within earlyLoss of one, without
-	// a run that had just begun there, for its loss to point at a task: more is a room
-	// without power, or this instance's own connections.
-	unexplainedMost = 3
 	// isolationPatience is how long a suspected task waits for an empty worker. Users
 	// expect a task whose turn has come to run within three seconds if there is room.
 	isolationPatience = 2 * time.Second
 	// lastingProof is how long a lasting task has to be at work to be cleared of all
 	// losses: it outlives many workers by its nature.
 	lastingProof = 30 * time.Second
-	// unsteadyFor is how long a worker counts as unsteady after a former life at its
-	// address was lost: workers that go up and down do so every few seconds.
-	unsteadyFor = 30 * time.Second
 )
 
 // losses is what the loss of workers says of a task; a gang's tasks share it.
@@ -123,28 +116,6 @@
 	return silentAt.Sub(r.begun()) < earlyLoss
 }
 
-// unexplainedAbout is how many workers fell silent within earlyLoss of a moment without
-// a run that had just begun there.
-func (e *Engine) unexplainedAbout(at time.Time) int {
-	count := 0
-	for _, other := range e.unexplained {
-		if other.Sub(at).Abs() < earlyLoss {
-			count++
-		}
-	}
-	return count
-}
-
-// begins reports whether a run on the node began within earlyLoss before a moment.
-func (n *node) begins(at time.Time) bool {
-	for _, run := range n.runs {
-		if begun := run.begun(); !begun.IsZero() && at.Sub(begun) < earlyLoss {
-			return true
-		}
-	}
-	return false
-}
-
 // begun is when a run began to work at the earliest: the members of a gang wait for
 // each other.
 func (r *run) begun() time.Time {
@@ -213,35 +184,6 @@
 	}
 }
 
-// markUnsteady has the lives that follow a lost one at its address count as unsteady
-// for some time, whatever they finish meanwhile: work goes elsewhere if it can, and
-// their loss says nothing of a task.
-func (e *Engine) markUnsteady(address string, now time.Time) {
-	if address == "" {
-		return // of a life that only the log has named
-	}
-	for other, until := range e.unsteady {
-		if now.After(until) {
-			delete(e.unsteady, other)
-		}
-	}
-	e.unsteady[address] = now.Add(unsteadyFor)
-	for _, known := range e.nodeOrder {
-		if known.entry.Address == address {
-			known.unsteady = e.unsteady[address]
-		}
-	}
-}
-
-// silence is since when a node has not answered, for the log. One that a former
-// holder of the term placed work on may never have answered this one.
-func (n *node) silence(now time.Time) string {
-	if n.silentAt.IsZero() {
-		return "never answered"
-	}
-	return fmt.Sprintf("silent_ms %d", now.Sub(n.silentAt).Milliseconds())
-}
-
 // worked is how long a run was at its worker before that fell silent, or until now.
 // started is false if the worker was never known to have it.
 func (r *run) worked(now time.Time) (length time.Duration, started bool) {
--- a/placing/node.go
+++ b/placing/node.go
@@ -173,21 +173,6 @@
 	}
 }
 
-// fellSilent notes that a node does not answer.
-func (e *Engine) fellSilent(known *node, now time.Time) {
-	known.answering = false
-	if !known.silentAt.IsZero() {
-		return
-	}
-	known.silentAt = now
-	for len(e.unexplained) > 0 && now.Sub(e.unexplained[0]) > unsteadyFor {
-		e.unexplained = e.unexplained[1:]
-	}
-	if !known.begins(now) {
-		e.unexplained = append(e.unexplained, now)
-	}
-}
-
 // Reborn says that another life answers at the worker's address, so this one
 // and all that ran there are over.
 func (e *Engine) Reborn(worker string, now time.Time) {
