--- a/placing/loss.go
+++ b/placing/loss.go
@@ -110,7 +110,10 @@
 // order that was sent after the worker had fallen silent.
 func (r *run) lostEarly() bool {
 	silentAt := r.node.silentAt
-	if silentAt.Before(r.node.unsteady) || r.orderedAt.IsZero() || silentAt.IsZero() || silentAt.Before(r.orderedAt) {
+	if silentAt.IsZero() || r.orderedAt.IsZero() {
+		return false // under a former holder of the term, which alone knows when
+	}
+	if silentAt.Before(r.node.unsteady) || silentAt.Before(r.orderedAt) {
 		return false
 	}
 	return silentAt.Sub(r.begun()) < earlyLoss
--- a/placing/node.go
+++ b/placing/node.go
@@ -1,7 +1,6 @@
 package placing
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
@@ -15,10 +14,6 @@
 	// lapseSlack is added for the estimate of the worker's clock and for the
 	// way of an order.
 	lapseSlack = 400 * time.Millisecond
-	// listTrust is how long the list of workers is relied on for the room of those that
-	// do not guard it. The operators allow a heartbeat and three seconds at least, 4.5 s,
-	// until a worker that has shrunk gets nothing beyond its room.
-	listTrust = 3 * time.Second
 )
 
 // LeaseLapse is the time after which a lease of some length has certainly
@@ -124,26 +119,6 @@
 	e.dropNodes()
 }
 
-// resized notes that a worker offers more or less than before.
-func (e *Engine) resized(known *node, entry WorkerEntry) {
-	if known.entry.Capacity != entry.Capacity {
-		known.shares.known = false
-	}
-	if known.entry.Pool != "" && known.entry.Capacity != entry.Capacity {
-		e.plan.Notes = append(e.plan.Notes, Note{Event: "worker_resized", Worker: entry.ID,
-			Detail: fmt.Sprintf("from %+v to %+v used %+v", known.entry.Capacity, entry.Capacity, known.used)})
-	}
-}
-
-// ListSeen says as of when the list of workers is known.
-func (e *Engine) ListSeen(at time.Time) { e.listSeen = at }
-
-// roomKnown reports whether the room of a node can be relied on: one that does not
-// guard it may have shrunk since the list was read.
-func (e *Engine) roomKnown(known *node, now time.Time) bool {
-	return !e.unguarded[known.entry.Pool] || now.Sub(e.listSeen) <= listTrust
-}
-
 func (e *Engine) dropNodes() {
 	kept := e.nodeOrder[:0]
 	for _, known := range e.nodeOrder {
--- a/placing/resize_test.go
+++ b/placing/resize_test.go
@@ -21,13 +21,19 @@
 	c.engine.List(entries, c.now)
 }
 
+// oneWorker is a cluster of one worker with eight accelerators.
+func oneWorker() *cluster {
+	c := newCluster(1)
+	c.ids = c.ids[:1]
+	c.resize("w00", 8)
+	return c
+}
+
 // A worker may offer less for some time, below what runs there. What runs goes on, and
 // nothing new comes until there is room again.
 func TestShrunkWorkerGetsNothingBeyondItsRoom(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(1)
-	c.ids = c.ids[:1]
-	c.resize("w00", 8)
+	c := oneWorker()
 	c.submit(testJob(hexID(1), 1, testStep(5, 1)))
 	c.steps(2)
 	c.resize("w00", 4)
@@ -70,9 +76,7 @@
 // Room that was set aside for urgent work is not used where it is gone.
 func TestClaimOnAShrunkWorkerIsNotUsed(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(1)
-	c.ids = c.ids[:1]
-	c.resize("w00", 8)
+	c := oneWorker()
 	c.submit(testJob(hexID(1), 2, testStep(8, 1)))
 	c.steps(2)
 	c.submit(testJob(hexID(2), 0, testStep(1, 4)))
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -49,9 +49,7 @@
 	if run.phase != phasePlanned || run.task.run != run {
 		return
 	}
-	if !run.node.entry.Capacity.Fits(run.node.used) || !e.roomKnown(run.node, now) {
-		// It has shrunk since, or may have; one that does not guard its room would start
-		// the task.
+	if !e.stillFits(run.node, now) {
 		e.resolve(run, "no room any more", now)
 		return
 	}
