Evacuated availability zones get nothing new

Cause: nothing read the operators' request. Ruled out: late reading, as no instance decoded the record at all.

Change: every instance keeps the set of evacuated zones from the operators' stream. The holder of the term passes it to the decisions, whose view of the workers leaves the zone out: seats, room set aside, room kept clear and what may be stopped for urgent work. Runs that are placed and not ordered are dropped, gangs as a whole; an unanswered start is taken back after a second. Links look again before each try, also at instances that keep workers, whose watch message names the zone now. Without a fresh reading of the stream (half of the stated bound) nothing is placed or ordered. Urgent jobs are refused as never to run while every zone is evacuated.

Why it holds: each hop that an order can wait at looks itself; what is known is bounded in age by the holder's own reading, which counts a freeze.

--- a/batch/bounds.go
+++ b/batch/bounds.go
@@ -13,6 +13,9 @@
 	StopWithin time.Duration // longest time a stop takes
 	Reclaim    time.Duration // within which guaranteed urgent jobs begin
 	KeepEnded  time.Duration // how long an ended job stays known
+	// Evacuate is within what time nothing starts any more in an evacuated availability
+	// zone; 0 where none is stated.
+	Evacuate time.Duration
 }
 
 // settleTime is how long after a change here others may still go by the bounds of before:
@@ -90,6 +93,7 @@
 		StopWithin: current.StopWithin,
 		Reclaim:    current.Reclaim,
 		KeepEnded:  current.KeepEnded,
+		Evacuate:   current.Evacuate,
 		HolderGone: holderGone,
 		HandedOver: handOverGrace,
 		// An instance that drove workers for it does so until its grant is over.
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -325,6 +325,11 @@
 			w.dirty[change.Job] = true
 		}
 	}
+	w.wake()
+}
+
+// wake has the placing duty look at once.
+func (w *workFold) wake() {
 	select {
 	case w.signal <- struct{}{}:
 	default:
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -58,6 +58,7 @@
 
 	config        atomic.Pointer[Config]
 	configChanged atomic.Bool
+	evacuations   evacuations
 	operator      *follower
 	work          *follower   // of the part with the term and the states
 	detail        *follower   // of the part with the progress; nil if it is the same
@@ -100,7 +101,9 @@
 	i.helpers = newHelpers(i.clock)
 	i.chronicle = newChronicle(i.clock)
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, quietWait)
-	i.operator.apply = i.applyConfig
+	i.operator.apply = i.applyOperator
+	i.operator.reset = i.evacuations.reset
+	i.operator.wait = i.operatorWait
 	i.operator.gap = func() time.Duration { return configPause }
 	i.work = i.newWorkFollower(statePart)
 	if part := detailPart(settings.StoreParts); part != statePart {
@@ -251,6 +254,12 @@
 // Draining reports whether the instance is about to end.
 func (i *Instance) Draining() bool { return i.draining.Load() }
 
+// applyOperator takes what the operators wrote.
+func (i *Instance) applyOperator(batch Batch) {
+	i.applyEvacuations(batch)
+	i.applyConfig(batch)
+}
+
 func (i *Instance) applyConfig(batch Batch) {
 	for _, record := range batch.Records {
 		config, ok, err := i.decoder.Config(record)
--- a/batch/keptwire.go
+++ b/batch/keptwire.go
@@ -20,7 +20,7 @@
 }
 
 func watchedWorker(watch *relaypb.Watch) placing.WorkerEntry {
-	return placing.WorkerEntry{ID: watch.Worker, Address: watch.Address, Name: watch.Name, BornMS: watch.BornMs}
+	return placing.WorkerEntry{ID: watch.Worker, Address: watch.Address, Name: watch.Name, BornMS: watch.BornMs, Zone: watch.Zone}
 }
 
 func startPB(order placing.Start, open bool) *relaypb.Start {
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -134,6 +134,7 @@
 	i.fold.watching.Store(true)
 	clear(i.fold.dirty)
 	l.configure()
+	l.evacuate(l.clock.Now())
 	all := i.fold.table.All()
 	for _, job := range all {
 		l.pools[job.Submission.Queue.Pool] = true
@@ -216,6 +217,7 @@
 			return
 		}
 		l.engine.ListSeen(l.listed.seenAt())
+		l.engine.EvacuationsSeen(l.instance.operator.seenAt())
 		l.engine.SetLimits(l.instance.limits())
 		plan := l.engine.Decide(l.clock.Now())
 		l.carryOut(ctx, plan)
@@ -263,6 +265,9 @@
 	if i.configChanged.Swap(false) {
 		l.configure()
 	}
+	if i.evacuations.changed.Load() {
+		l.evacuate(now)
+	}
 }
 
 // termStands reports whether this instance may go on. Without the store it
--- a/batch/linkset.go
+++ b/batch/linkset.go
@@ -26,18 +26,22 @@
 	report func(ctx context.Context, answer event)
 	// granted reports whether orders may be given now; nil for always.
 	granted func() bool
+	// mayStartAt reports whether starts may be sent to an availability zone. It is asked
+	// before each try, as a start may wait here while its zone is evacuated.
+	mayStartAt func(zone string) bool
 }
 
 func (i *Instance) newLinkHost(epoch int64, log *logrus.Entry) *linkHost {
 	return &linkHost{
-		clock:     i.clock,
-		log:       log,
-		workers:   i.workers,
-		epoch:     epoch,
-		bounds:    i.bounds,
-		startTime: i.metrics.startTime,
-		orders:    make(chan struct{}, orderSlots),
-		patience:  patience{least: orderTimeout},
+		clock:      i.clock,
+		log:        log,
+		workers:    i.workers,
+		epoch:      epoch,
+		bounds:     i.bounds,
+		startTime:  i.metrics.startTime,
+		orders:     make(chan struct{}, orderSlots),
+		patience:   patience{least: orderTimeout},
+		mayStartAt: i.mayStartAt,
 	}
 }
 
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -16,6 +16,7 @@
 	sessions      metrics.Gauge     // instances that keep workers for this one
 	ownWorkers    metrics.Gauge     // workers that the holder drives itself
 	moving        metrics.Gauge     // workers that are being handed over
+	evacuated     metrics.Gauge     // availability zones that get nothing new
 }
 
 func newInstruments(registry metrics.Registry) *instruments {
@@ -27,6 +28,7 @@
 	made.sessions = metrics.NewRegisteredGauge("sharing.sessions", registry)
 	made.ownWorkers = metrics.NewRegisteredGauge("sharing.own_workers", registry)
 	made.moving = metrics.NewRegisteredGauge("sharing.moving", registry)
+	made.evacuated = metrics.NewRegisteredGauge("zones.evacuated", registry)
 	made.appendTime = made.histogram("store.append_us")
 	made.submitTime = made.histogram("calls.submit_us")
 	made.startTime = made.histogram("workers.start_us")
--- a/batch/order.go
+++ b/batch/order.go
@@ -32,6 +32,9 @@
 // errWithdrawn ends an order that is not wanted any more before it is sent.
 var errWithdrawn = eris.New("the order is not wanted any more")
 
+// errEvacuated ends a start that is not sent as its worker's zone is evacuated.
+var errEvacuated = eris.New("the availability zone is evacuated")
+
 // startRun sends a start and brings its answer to the placing duty. Once
 // withdrawn is closed no further try is sent: on a slow instance one may wait
 // for a slot until its job was cancelled long ago. open says that a try may be
@@ -40,6 +43,9 @@
 	defer k.started(order)
 	sent := k.host.clock.Now()
 	opened, err := k.send(ctx, withdrawn, func(ctx context.Context) error {
+		if !k.host.mayStartAt(k.worker().Zone) {
+			return errEvacuated
+		}
 		_, err := k.host.workers.Start(ctx, k.worker(), StartOrder{
 			Task:       order.Task,
 			Run:        order.Run,
@@ -73,7 +79,7 @@
 func (k *link) send(ctx context.Context, withdrawn <-chan struct{}, order func(context.Context) error) (open bool, err error) {
 	for range orderTries {
 		err = k.try(ctx, withdrawn, order)
-		if err == nil || wasAnswered(err) || errors.Is(err, errWithdrawn) || errors.Is(err, errNotGranted) || ctx.Err() != nil {
+		if err == nil || wasAnswered(err) || notSent(err) || ctx.Err() != nil {
 			return open, err
 		}
 		open = true
@@ -81,6 +87,11 @@
 	return open, err
 }
 
+// notSent reports whether an order was kept back here, and is to be.
+func notSent(err error) bool {
+	return errors.Is(err, errWithdrawn) || errors.Is(err, errNotGranted) || errors.Is(err, errEvacuated)
+}
+
 // wasAnswered reports whether an order's failure is an answer, so that it is not sent again.
 func wasAnswered(err error) bool {
 	var refused *OrderError
@@ -134,6 +145,9 @@
 	if !open && errors.Is(err, errWithdrawn) {
 		return placing.StartRefused
 	}
+	if !open && errors.Is(err, errEvacuated) {
+		return placing.StartEvacuated
+	}
 	var refused *OrderError
 	if open || !errors.As(err, &refused) {
 		return placing.StartUnknown
--- a/batch/outside.go
+++ b/batch/outside.go
@@ -31,7 +31,7 @@
 // of callers and those of the placing instance must not wait for each other.
 const (
 	StreamWork     Stream = "work"     // submissions, cancellations, progress, the term
-	StreamOperator Stream = "operator" // the operators' configuration
+	StreamOperator Stream = "operator" // the operators' configuration and evacuations
 	StreamWorkers  Stream = "workers"  // the workers' own entries
 )
 
@@ -67,6 +67,9 @@
 type Decoder interface {
 	// Config decodes a record of StreamOperator; ok is false for other records.
 	Config(record jobs.Record) (config *Config, ok bool, err error)
+	// Evacuation decodes a record of StreamOperator that asks for an availability zone to
+	// get nothing new, or takes it back; ok is false for other records.
+	Evacuation(record jobs.Record) (zone string, evacuated, ok bool)
 	// Worker decodes a record of StreamWorkers; gone says that the entry left.
 	Worker(record jobs.Record) (entry placing.WorkerEntry, gone bool, err error)
 }
--- a/batch/serve.go
+++ b/batch/serve.go
@@ -73,6 +73,9 @@
 	if i.known(submission.ID) {
 		return Outcome{Verdict: Accepted, Reason: "known"}
 	}
+	if outcome, refused := i.refuseNowhere(submission.Queue.Priority); refused {
+		return outcome
+	}
 	submission.AcceptedMS = i.clock.WallMS(i.clock.Now())
 	record, err := jobs.SubmissionRecord(submission)
 	if err != nil {
--- a/batch/session.go
+++ b/batch/session.go
@@ -158,7 +158,7 @@
 
 func (s *session) watch(entry placing.WorkerEntry) {
 	s.put(&relaypb.Order{Body: &relaypb.Order_Watch{Watch: &relaypb.Watch{Worker: entry.ID, Address: entry.Address,
-		Name: entry.Name, BornMs: entry.BornMS}}})
+		Name: entry.Name, BornMs: entry.BornMS, Zone: entry.Zone}}})
 }
 
 func (s *session) release(worker string) {
--- a/batch/simworkers_test.go
+++ b/batch/simworkers_test.go
@@ -15,22 +15,23 @@
 // simWorker is a worker in memory: runs end as done after a time, unless their
 // lease lapses before.
 type simWorker struct {
-	bornMS  int64     // of its present life
-	start   time.Time // where its clock begins
-	down    bool      // between two lives
-	starts  int       // of runs in this life
-	fence   int64
-	until   time.Time
-	runs    map[startKey]time.Time // when each began
-	highest map[jobs.TaskKey]int   // run stopped or ended
-	ended   []placing.EndedTask
-	number  int64
-	doubles int // starts of a task that ran, or of which an end as done was taken note of then or later
-	lapsed  int
-	last    string          // instance that called last
-	calls   int             // holds
-	heardAt time.Time       // of the newest hold
-	callers map[string]bool // instances that ever called
+	bornMS    int64     // of its present life
+	start     time.Time // where its clock begins
+	down      bool      // between two lives
+	starts    int       // of runs in this life
+	startedAt time.Time // when the newest run began
+	fence     int64
+	until     time.Time
+	runs      map[startKey]time.Time // when each began
+	highest   map[jobs.TaskKey]int   // run stopped or ended
+	ended     []placing.EndedTask
+	number    int64
+	doubles   int // starts of a task that ran, or of which an end as done was taken note of then or later
+	lapsed    int
+	last      string          // instance that called last
+	calls     int             // holds
+	heardAt   time.Time       // of the newest hold
+	callers   map[string]bool // instances that ever called
 }
 
 // simWorkers are the workers of a test, with what keeps instances from them.
@@ -58,12 +59,15 @@
 	return s
 }
 
+// zoneOf is the availability zone of a worker, one of ten.
+func zoneOf(id string) string { return "z" + id[4:] }
+
 func (s *simWorkers) entries() map[string]placing.WorkerEntry {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	list := map[string]placing.WorkerEntry{}
 	for id, worker := range s.workers {
-		list[id] = placing.WorkerEntry{ID: placing.LifeID(id, worker.bornMS), Name: id, BornMS: worker.bornMS, Address: id, Kind: "a", Rack: "r1-" + id[:4], Pool: "pool", Zone: "z" + id[4:],
+		list[id] = placing.WorkerEntry{ID: placing.LifeID(id, worker.bornMS), Name: id, BornMS: worker.bornMS, Address: id, Kind: "a", Rack: "r1-" + id[:4], Pool: "pool", Zone: zoneOf(id),
 			Capacity: jobs.Resources{MilliCores: 64000, MemoryMB: 1 << 18, Accelerators: 8}}
 	}
 	return list
@@ -274,6 +278,7 @@
 	known.extend(order.UntilMS)
 	known.runs[key] = time.Now()
 	known.starts++
+	known.startedAt = time.Now()
 	return known.clockMS(), nil
 }
 
--- a/batch/status.go
+++ b/batch/status.go
@@ -8,6 +8,7 @@
 	Leading       bool               `json:"leading"`
 	Term          jobs.Term          `json:"term"`
 	ConfigVersion int64              `json:"config_version"`
+	Evacuated     []string           `json:"evacuated,omitempty"` // availability zones that get nothing new
 	Ready         bool               `json:"ready"`
 	Draining      bool               `json:"draining"`
 	LogAgeMS      int64              `json:"log_age_ms"` // since the last answered read of the log
@@ -28,13 +29,14 @@
 // Status returns what this instance believes now.
 func (i *Instance) Status() Status {
 	status := Status{
-		Instance: i.settings.Name,
-		Leading:  i.fold.watching.Load(),
-		Ready:    i.Ready(),
-		Draining: i.Draining(),
-		LogAgeMS: sinceMS(i.clock.Now(), i.work.heardAt()),
-		Waiting:  map[string]int{},
-		Keeping:  i.keepings.count(),
+		Instance:  i.settings.Name,
+		Leading:   i.fold.watching.Load(),
+		Evacuated: i.evacuations.list(),
+		Ready:     i.Ready(),
+		Draining:  i.Draining(),
+		LogAgeMS:  sinceMS(i.clock.Now(), i.work.heardAt()),
+		Waiting:   map[string]int{},
+		Keeping:   i.keepings.count(),
 	}
 	if sharing := i.sharing.Load(); sharing != nil {
 		status.Sharing = *sharing
--- a/command/explain.go
+++ b/command/explain.go
@@ -19,7 +19,8 @@
 
 // contextEvents are lines without a request's id that explain what happens to
 // requests: who placed, and what was lost.
-var contextEvents = []string{"msg=term_", "msg=store_lost", "msg=store_regained", "msg=instance_started", "msg=instance_stopped", "msg=draining", "msg=configuration_taken"}
+var contextEvents = []string{"msg=term_", "msg=store_lost", "msg=store_regained", "msg=instance_started", "msg=instance_stopped", "msg=draining", "msg=configuration_taken",
+	"msg=zone_", "msg=evacuations_"}
 
 // logLine is one line of one process.
 type logLine struct {
--- a/command/fleet.go
+++ b/command/fleet.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,6 +44,9 @@
 	fmt.Fprintf(out, "instance=%s leading=%t epoch=%d holder=%s config=%d ready=%t draining=%t log_age_ms=%d jobs=%v waiting=%v keeping=%d",
 		status.Instance, status.Leading, status.Term.Epoch, status.Term.Holder, status.ConfigVersion, status.Ready,
 		status.Draining, status.LogAgeMS, status.Jobs, status.Waiting, status.Keeping)
+	if len(status.Evacuated) > 0 {
+		fmt.Fprintf(out, " evacuated=%s", strings.Join(status.Evacuated, ","))
+	}
 	if status.Leading {
 		fmt.Fprintf(out, " shared=%t own=%d moving=%d", status.Sharing.Shared, status.Sharing.Own, status.Sharing.Moving)
 	}
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -28,7 +28,8 @@
 	learned     map[string]*estimate // by queue
 	sizes       map[string]*sizes    // by queue
 	unsteady    map[string]time.Time // by address: until when lives there count as unsteady
-	unexplained []time.Time          // when workers fell silent lately without a run that had just begun, in order
+	evacuations evacuations
+	unexplained []time.Time // when workers fell silent lately without a run that had just begun, in order
 
 	urgentDemand demand
 	gangDemand   demand
@@ -240,6 +241,7 @@
 	e.scans++
 	e.expire(now)
 	e.chaseRuns(now)
+	e.recallStarts(now)
 	e.care(now)
 	e.dropFinished(now)
 	e.place(now)
--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -94,7 +94,7 @@
 // load is what runs and what waits, by class, in workers' worth of capacity.
 type load struct {
 	running, waiting [classes]float64
-	used, whole      float64 // of all workers
+	used, whole      float64 // of the workers outside evacuated zones
 }
 
 func (l *load) asked(by class) float64 { return l.running[by] + l.waiting[by] }
@@ -119,13 +119,16 @@
 }
 
 func (e *Engine) load(units []*unit, open *view) *load {
-	found := &load{whole: float64(len(e.nodeOrder))}
+	found := &load{}
 	for _, node := range e.nodeOrder {
 		running := node.share()
-		found.used += running.used
 		for class, part := range running.by {
 			found.running[class] += part
 		}
+		if !node.evacuated {
+			found.used += running.used
+			found.whole++
+		}
 	}
 	for _, unit := range units {
 		if unit.tier != tierHopeless && len(open.nodes) > 0 {
--- a/placing/limits.go
+++ b/placing/limits.go
@@ -8,6 +8,9 @@
 	StopWithin time.Duration // longest time a stop takes
 	Reclaim    time.Duration // within which guaranteed urgent jobs begin
 	KeepEnded  time.Duration // how long an ended job stays known
+	// Evacuate is within what time nothing starts any more in an evacuated zone; 0 where
+	// the platform states none.
+	Evacuate time.Duration
 	// HolderGone is when a holder of the term that lost the store gives up for
 	// certain; leases it granted until then may run on.
 	HolderGone time.Duration
--- a/placing/node.go
+++ b/placing/node.go
@@ -37,6 +37,7 @@
 	seenEnd   int64          // highest number of an end that was handled
 	fullUntil time.Time      // it refused for room; its next report tells
 	leaveAt   time.Time      // when it may be gone, while leaving
+	evacuated bool           // its availability zone gets nothing new
 	health    health
 	unsteady  time.Time // until then it counts as unsteady, see markUnsteady
 	isolating int       // runs there of suspected tasks
@@ -132,6 +133,7 @@
 		e.resized(known, entry)
 		known.entry = entry
 		known.listed = true
+		e.markEvacuated(known, now)
 		known.unsteady = e.unsteady[entry.Address]
 	}
 	e.dropNodes()
--- a/placing/place.go
+++ b/placing/place.go
@@ -22,6 +22,10 @@
 // place runs a pass, unless the last one was a moment ago: answers come in
 // bursts, and a pass costs time that grows with the number of workers.
 func (e *Engine) place(now time.Time) {
+	e.watchEvacuations(now)
+	if !e.evacuationsKnown(now) {
+		return
+	}
 	interval := passInterval + time.Duration(len(e.nodeOrder))*passPerNode
 	if now.Sub(e.passedAt) < interval {
 		e.plan.Again = interval - now.Sub(e.passedAt)
@@ -71,7 +75,7 @@
 
 // open reports whether a node may get new work.
 func (n *node) open(now time.Time) bool {
-	sound := n.listed && n.reported && n.answering && !n.entry.Leaving && n.foreign == 0 && n.isolating == 0
+	sound := n.listed && n.reported && n.answering && !n.entry.Leaving && !n.evacuated && n.foreign == 0 && n.isolating == 0
 	return sound && !now.Before(n.fullUntil) && !now.Before(n.health.until)
 }
 
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -12,12 +12,13 @@
 
 // Results of a start.
 const (
-	StartAccepted StartResult = iota
-	StartRefused              // it did and will do nothing
-	StartNoTicket             // refused, as it carried no valid ticket
-	StartNoRoom               // refused, as the task does not fit there now
-	StartBusy                 // refused, as the worker is unhealthy
-	StartUnknown              // no answer; it may take effect, also later
+	StartAccepted  StartResult = iota
+	StartRefused               // it did and will do nothing
+	StartNoTicket              // refused, as it carried no valid ticket
+	StartNoRoom                // refused, as the task does not fit there now
+	StartBusy                  // refused, as the worker is unhealthy
+	StartUnknown               // no answer; it may take effect, also later
+	StartEvacuated             // not sent, as the worker's availability zone is evacuated
 )
 
 const (
@@ -53,6 +54,10 @@
 		e.resolve(run, "no room any more", now)
 		return
 	}
+	if !e.evacuationsKnown(now) {
+		e.resolve(run, "evacuated zones not known", now)
+		return
+	}
 	run.phase = phaseOrdered
 	run.orderedAt = now
 	run.resumed = run.task.checkpoint != ""
@@ -103,6 +108,9 @@
 		return // an earlier copy of the order is at work
 	}
 	switch result {
+	case StartEvacuated:
+		e.resolve(run, zoneEvacuated(run.node), now)
+		return
 	case StartNoTicket:
 		run.task.step.ticketRefused(run.node.entry.ID)
 	case StartNoRoom:
--- a/placing/summary.go
+++ b/placing/summary.go
@@ -15,10 +15,13 @@
 		return
 	}
 	e.summedAt = now
-	var whole, usable, busy, stopping int64
+	var whole, usable, busy, stopping, evacuated int64
 	for _, node := range e.nodeOrder {
 		whole += node.entry.Capacity.Accelerators
 		busy += node.used.Accelerators
+		if node.evacuated {
+			evacuated += node.entry.Capacity.Accelerators
+		}
 		for _, run := range node.runs {
 			if !run.stopSentAt.IsZero() {
 				stopping += run.need().Accelerators
@@ -33,5 +36,5 @@
 		waiting[unit.tier] += int64(len(unit.tasks)) * unit.step.need().Accelerators
 	}
 	e.plan.Notes = append(e.plan.Notes, Note{Event: "load", Detail: fmt.Sprintf(
-		"accelerators %d usable %d busy %d stopping %d waiting_by_tier %v jobs %d", whole, usable, busy, stopping, waiting, len(e.active))})
+		"accelerators %d usable %d evacuated %d busy %d stopping %d waiting_by_tier %v jobs %d", whole, usable, evacuated, busy, stopping, waiting, len(e.active))})
 }
