After a loss of a zone or of all instances workers are reached at once, however many instances there are

Traced with the logs of a copy of the site with 100 instances (a trial): a zone lost at 24.0 s; the term claimed at 26.05, as nobody watched the holder closely (the few that would were drawn by hash among all instances, most of which have too little processor to be drawn); the first worker reached at 27.15, as workers waited while any session was being opened and those of the lost zone were tried one after the other.

Ruled out: election and reading of progress once claimed (0.05 s), the list (0.1 s at 1,000 workers, 0.3 s at 3,000).

Change: the instances that watch are the first ones by rank and one of another zone, never the holder, and their reads wait 0.3 s; a worker waits 0.1 s for sessions that are being opened, up to 1 s while none is open or those that are have their full shares; an instance that is still reading the log keeps a session waiting rather than refuse it, which had it rest for 3 s.

Why it holds: each wait is bounded by the worker's own time without a driver, not by what else is being opened; at least one watcher is outside any one zone.

The tests fail on the former code.

--- a/batch/division.go
+++ b/batch/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/relay/relaypb"
@@ -11,7 +12,7 @@
 // divide gives each worker to the instance that is to drive it, if something has
 // changed or the last look is some time ago.
 func (d *drivers) divide(now time.Time) {
-	if !d.changed && now.Sub(d.lookedAt) < shareLook {
+	if !d.changed && now.Sub(d.lookedAt) < d.lookEvery() {
 		return
 	}
 	d.lookedAt = now
@@ -20,13 +21,23 @@
 	if d.shared {
 		d.openSessions(now)
 	}
-	keepers, waiting := d.keepers(now)
+	keepers := d.keepers()
+	d.waiting = false
 	for _, known := range d.workers {
-		d.settle(known, keepers, waiting, now)
+		d.settle(known, keepers, now)
+		d.waiting = d.waiting || known.state == drivenByNone
 	}
 	d.count()
 }
 
+// lookEvery is how often the division is looked at: often while workers wait for a driver.
+func (d *drivers) lookEvery() time.Duration {
+	if d.waiting {
+		return leadTick
+	}
+	return shareLook
+}
+
 func (d *drivers) switchSharing() {
 	shared := d.sharing.See(len(d.workers))
 	if shared == d.shared {
@@ -91,12 +102,12 @@
 	})
 }
 
-// keepers are the instances that may drive workers now; waiting says that more are
-// about to come, so that workers without a driver had better wait.
-func (d *drivers) keepers(now time.Time) (list []sharing.Instance, waiting bool) {
+// keepers are the instances that may drive workers now.
+func (d *drivers) keepers() []sharing.Instance {
 	if !d.shared {
-		return nil, false
+		return nil
 	}
+	var list []sharing.Instance
 	instances := d.leader.instance.instances()
 	for name, s := range d.sessions {
 		if !s.draining {
@@ -104,35 +115,72 @@
 			list = append(list, sharing.Instance{Name: name, Zone: instances[name].Zone, Weight: instances[name].CPUShare})
 		}
 	}
-	for _, since := range d.opening {
-		waiting = waiting || now.Sub(since) < openPatience
-	}
-	return list, waiting
+	return list
 }
 
 // settle gives one worker to whom it belongs. From an instance that drives it it
 // is first taken away; it stays with one that may drive it, unless it does not
 // answer there or the share has grown too large: a move costs more than an uneven
 // share.
-func (d *drivers) settle(known *driven, keepers []sharing.Instance, waiting bool, now time.Time) {
-	if known.state == drivenLeaving || known.state == drivenByNone && waiting {
+func (d *drivers) settle(known *driven, keepers []sharing.Instance, now time.Time) {
+	if known.state == drivenLeaving || known.state == drivenByNone && d.waits(known, now) {
 		return
 	}
 	avoid := ""
 	if now.Before(known.avoidUntil) {
 		avoid = known.avoid
 	}
-	chosen := sharing.Choose(known.entry.Name, known.entry.Zone, avoid, keepers)
 	if known.state == drivenByOne {
-		if known.keeper == chosen || waiting || d.mayStay(known, avoid) {
-			return
+		chosen := sharing.Choose(known.entry.Name, known.entry.Zone, avoid, keepers)
+		if known.keeper != chosen && !d.justOpening(now) && !d.mayStay(known, avoid) {
+			d.takeAway(known)
 		}
-		d.takeAway(known)
 		return
 	}
+	roomy := d.withRoom(keepers)
+	if len(roomy) > 0 {
+		keepers = roomy
+	} else if len(d.opening) > 0 && now.Sub(known.alone) < roomPatience {
+		return
+	}
+	d.give(known, sharing.Choose(known.entry.Name, known.entry.Zone, avoid, keepers))
+}
+
+// waits reports whether a worker had better wait for sessions that are being opened. With
+// none open at all it waits longer, as all workers would go to the holder.
+func (d *drivers) waits(known *driven, now time.Time) bool {
+	if !d.shared || len(d.opening) == 0 {
+		return false
+	}
+	if len(d.sessions) == 0 {
+		return now.Sub(known.alone) < roomPatience
+	}
+	return now.Sub(known.alone) < openPatience
+}
+
+// justOpening reports whether a session has begun to be opened a moment ago.
+func (d *drivers) justOpening(now time.Time) bool {
+	for _, since := range d.opening {
+		if now.Sub(since) < openPatience {
+			return true
+		}
+	}
+	return false
+}
+
+// withRoom are those of some instances that do not drive as many workers yet as they may
+// come to.
+func (d *drivers) withRoom(keepers []sharing.Instance) []sharing.Instance {
+	return slices.DeleteFunc(slices.Clone(keepers), func(keeper sharing.Instance) bool {
+		s := d.sessions[keeper.Name]
+		return s.workers >= s.most
+	})
+}
+
+func (d *drivers) give(known *driven, keeper string) {
 	known.state = drivenByOne
-	known.keeper = chosen
-	if s := d.sessions[chosen]; s != nil {
+	known.keeper = keeper
+	if s := d.sessions[keeper]; s != nil {
 		s.workers++
 	}
 	to := d.driverOf(known)
--- a/batch/drivers.go
+++ b/batch/drivers.go
@@ -15,9 +15,13 @@
 	// rest doubles up to sessionRestMost while its sessions do not last as long.
 	sessionRest     = 3 * time.Second
 	sessionRestMost = 30 * time.Second
-	// openPatience is how long workers wait for sessions to open before those that
-	// are open share them: opening takes milliseconds.
-	openPatience = 400 * time.Millisecond
+	// openPatience is how long a worker waits for sessions that are being opened before
+	// those that are open take it: opening takes milliseconds, and what is not reached then
+	// may be a whole availability zone that is lost.
+	openPatience = 100 * time.Millisecond
+	// roomPatience is the same while those that are open have their full shares already:
+	// others are starting, as after a loss of all instances.
+	roomPatience = time.Second
 	// avoidFor is how long a worker is kept away from an instance from which it did
 	// not answer; it may answer another one, if only the way is cut.
 	avoidFor = 8 * time.Second
@@ -57,6 +61,7 @@
 	state  drivenState
 	avoid  string // instance from which it did not answer, until avoidUntil
 
+	alone      time.Time // since when it has had no driver
 	avoidUntil time.Time
 	floor      time.Time                  // nothing there has lapsed before, whatever who drives it now says
 	starts     map[startKey]placing.Start // sent and not answered
@@ -88,6 +93,7 @@
 	sharing  sharing.Switch
 	shared   bool
 	changed  bool // sessions or workers are not as at the last division
+	waiting  bool // workers had no driver at the last look
 	lookedAt time.Time
 }
 
@@ -134,11 +140,11 @@
 func (d *drivers) current(s *session) bool { return d.sessions[s.name] == s }
 
 // list takes the workers as they are listed now.
-func (d *drivers) list(entries []placing.WorkerEntry) {
+func (d *drivers) list(entries []placing.WorkerEntry, now time.Time) {
 	for _, entry := range entries {
 		known := d.workers[entry.ID]
 		if known == nil {
-			d.workers[entry.ID] = &driven{entry: entry, starts: map[startKey]placing.Start{}}
+			d.workers[entry.ID] = &driven{entry: entry, alone: now, starts: map[startKey]placing.Start{}}
 			d.changed = true
 			continue
 		}
@@ -259,6 +265,7 @@
 			continue
 		}
 		known.state = drivenByNone
+		known.alone = now
 		known.floor = floor
 		d.leader.engine.Unreachable(id, floor, now)
 	}
@@ -305,9 +312,9 @@
 	lapseAt time.Time // when all has lapsed there unless somebody renews it
 }
 
-func (r released) apply(l *leader, _ time.Time) { l.drivers.released(r.worker, r.lapseAt) }
+func (r released) apply(l *leader, now time.Time) { l.drivers.released(r.worker, r.lapseAt, now) }
 
-func (d *drivers) released(worker string, lapseAt time.Time) {
+func (d *drivers) released(worker string, lapseAt, now time.Time) {
 	known := d.workers[worker]
 	if known == nil || known.state != drivenLeaving {
 		return
@@ -316,6 +323,7 @@
 		s.workers--
 	}
 	known.state = drivenByNone
+	known.alone = now
 	if lapseAt.After(known.floor) {
 		known.floor = lapseAt
 	}
--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -32,13 +32,14 @@
 	lock     sync.Mutex
 	ways     map[string][]func() // that cut the streams to an instance
 	gone     map[string]bool
+	hanging  map[string]bool // to which calls are not answered at all
 	sessions sync.WaitGroup
 }
 
 var simBounds = Bounds{Lease: simLease, StopWithin: 200 * time.Millisecond}
 
 func newSharedFleet(t *testing.T, workers *simWorkers, instances int) *sharedFleet {
-	f := &sharedFleet{t: t, workers: workers, others: map[string]*Instance{}, ways: map[string][]func(){}, gone: map[string]bool{}, over: make(chan struct{})}
+	f := &sharedFleet{t: t, workers: workers, others: map[string]*Instance{}, ways: map[string][]func(){}, gone: map[string]bool{}, hanging: map[string]bool{}, over: make(chan struct{})}
 	f.ctx, f.cancel = context.WithCancel(t.Context())
 	for number := range instances {
 		name := fmt.Sprintf("keeper-%d", number)
@@ -70,11 +71,16 @@
 	holder.listed = holder.newList()
 	holder.entries = f.workers.entries()
 	holder.pools["pool"] = true
+	f.makeKnown(i, func(string) string { return "" })
+	return holder
+}
+
+// makeKnown tells the holder of the instances, each in an availability zone.
+func (f *sharedFleet) makeKnown(holder *Instance, zone func(name string) string) {
 	for name := range f.others {
-		record, err := jobs.InstanceRecord(name, jobs.Instance{Address: name, CPUShare: 0.4})
-		i.take(f.t, partOf(record.Subject(), 8), record, err)
+		record, err := jobs.InstanceRecord(name, jobs.Instance{Address: name, Zone: zone(name), CPUShare: 0.4})
+		holder.take(f.t, partOf(record.Subject(), 8), record, err)
 	}
-	return holder
 }
 
 func (f *sharedFleet) start() {
@@ -96,7 +102,11 @@
 
 // dial joins the holder to an instance over two pipes, between which messages wait
 // while the instance is frozen.
-func (f *sharedFleet) dial(_ context.Context, address string, keep *relaypb.Keep) (*relay.Stream, error) {
+func (f *sharedFleet) dial(ctx context.Context, address string, keep *relaypb.Keep) (*relay.Stream, error) {
+	if f.hangs(address) {
+		<-ctx.Done() // nobody is there to refuse
+		return nil, relay.ErrNotSent
+	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if f.gone[address] || f.workers.isFrozen(address) {
@@ -144,6 +154,19 @@
 	}
 }
 
+// hang takes an instance away with the ground that it stood on: calls to it meet nobody.
+func (f *sharedFleet) hang(name string) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.hanging[name] = true
+}
+
+func (f *sharedFleet) hangs(name string) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.hanging[name]
+}
+
 func (f *sharedFleet) isGone(name string) bool {
 	f.lock.Lock()
 	defer f.lock.Unlock()
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -22,11 +22,11 @@
 	// that do not place: each read costs a call, and who asks for a job's state
 	// has the log read at once.
 	standbyPause = 1200 * time.Millisecond
-	// watchfulPause replaces it on the instances that would claim a vacant term
-	// first, as they must notice that its holder is silent.
+	// watchfulPause replaces it on the instances that watch the holder of the term, as
+	// they must notice that it is silent, and watchfulWait the wait of their reads: its
+	// silence is known as of the end of one.
 	watchfulPause = 200 * time.Millisecond
-	// watchfulCount is how many instances read so often, on average.
-	watchfulCount = 3
+	watchfulWait  = 300 * time.Millisecond
 	// callsPause is the same for what callers wrote; the count of waiting jobs
 	// may be two seconds old.
 	callsPause = 1800 * time.Millisecond
@@ -176,10 +176,12 @@
 // term waits shortly everywhere, as a connection that has gone silent would hide
 // new jobs from it.
 func (i *Instance) workWait(part int) time.Duration {
-	if part == statePart {
+	switch {
+	case part == statePart && !i.leading.Load() && i.watchful():
+		return watchfulWait
+	case part == statePart:
 		return progressWait
-	}
-	if i.leading.Load() {
+	case i.leading.Load():
 		return holderWait
 	}
 	return callsWait
@@ -201,15 +203,6 @@
 	return standbyPause
 }
 
-// watchful reports whether this is one of the instances that claim a vacant
-// term first: a few, by rank, however many there are.
-func (i *Instance) watchful() bool {
-	i.foldLock.Lock()
-	count := max(1, i.fold.table.InstanceCount())
-	i.foldLock.Unlock()
-	return claimRank(i.nameHash, i.settings.CPUShare) < watchfulCount*claimSpread/time.Duration(count)
-}
-
 func (i *Instance) randomSequence() int64 { return rand.Int64N(1 << 40) }
 
 // Start runs the duties and returns at once.
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/relay"
 	"github.com/teaselcleat/teaselcleat/relay/relaypb"
 )
@@ -23,6 +24,10 @@
 	// as much processor as ten more lines in it, and urgent work has a second to
 	// spare.
 	keepDelay = 5 * time.Millisecond
+	// loadPatience is how long a session waits for this instance to have read the log,
+	// within the silence that the holder bears; loadLook is how often it looks.
+	loadPatience = time.Second
+	loadLook     = 20 * time.Millisecond
 )
 
 // keeping is a session in which this instance drives the links to some workers
@@ -47,6 +52,7 @@
 // Keep serves a session of the holder of a term, until it ends.
 func (i *Instance) Keep(ctx context.Context, opened *relaypb.Keep, stream *relay.Stream) {
 	log := i.log.WithField("epoch", opened.Epoch).WithField("holder", opened.Holder)
+	i.awaitLoaded(ctx)
 	if !opened.Lives || i.draining.Load() || !i.loaded() || i.leading.Load() && i.term().Epoch >= opened.Epoch {
 		log.WithField("lives", opened.Lives).Info("keeping_refused")
 		_ = stream.Send(&relaypb.Kept{Refused: true}) // the session ends either way
@@ -65,6 +71,16 @@
 	log.Info("keeping_ended")
 }
 
+// awaitLoaded waits until this instance has read the log, for some time: after a loss of
+// all instances many are called while they are still reading.
+func (i *Instance) awaitLoaded(ctx context.Context) {
+	for begin := i.clock.Now(); !i.loaded() && i.clock.Now().Sub(begin) < loadPatience; {
+		if !logstream.Sleep(ctx, loadLook) {
+			return
+		}
+	}
+}
+
 func (i *Instance) newKeeping(ctx context.Context, end context.CancelFunc, epoch int64, stream *relay.Stream, log *logrus.Entry) *keeping {
 	k := &keeping{clock: i.clock, log: log, epoch: epoch, stream: stream, end: end, out: newKeptBox()}
 	host := i.newLinkHost(epoch, log)
--- a/batch/link.go
+++ b/batch/link.go
@@ -332,6 +332,6 @@
 func (r reborn) apply(l *leader, now time.Time) {
 	next, watch := l.engine.Reborn(r.worker, r.bornMS, now)
 	if watch {
-		l.drivers.list([]placing.WorkerEntry{next})
+		l.drivers.list([]placing.WorkerEntry{next}, now)
 	}
 }
--- a/batch/list.go
+++ b/batch/list.go
@@ -57,5 +57,5 @@
 		}
 	}
 	l.listed.lock.Unlock()
-	l.drivers.list(l.engine.List(entries, now))
+	l.drivers.list(l.engine.List(entries, now), now)
 }
--- /dev/null
+++ b/batch/watch_test.go
@@ -0,0 +1,140 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// instancesIn makes instances of some availability zones known, the first two of each with
+// much processor.
+func instancesIn(zones, each int) map[string]jobs.Instance {
+	known := map[string]jobs.Instance{}
+	for zone := range zones {
+		for number := range each {
+			share := 0.192
+			if number < 2 {
+				share = 0.8
+			}
+			known[fmt.Sprintf("z%d-%d", zone, number)] = jobs.Instance{Zone: fmt.Sprintf("z%d", zone), CPUShare: share}
+		}
+	}
+	return known
+}
+
+// However many instances there are and however many of them have little processor, a few
+// watch the holder of the term closely, never all in one zone, and the holder is none.
+func TestSomeInstancesAlwaysWatchTheHolder(t *testing.T) {
+	is := is.New(t)
+	for _, each := range []int{1, 2, 13, 33, 100} {
+		known := instancesIn(3, each)
+		for holder := range known {
+			chosen := watchers(known, holder)
+			is.Equal(len(chosen), min(watchfulCount, len(known)-1))
+			is.True(!slices.Contains(chosen, holder))
+			zones := map[string]bool{}
+			for _, name := range chosen {
+				zones[known[name].Zone] = true
+			}
+			is.True(len(zones) > 1)
+		}
+	}
+	is.Equal(len(watchers(instancesIn(1, 5), "")), watchfulCount) // of one zone where there is no other
+	is.Equal(len(watchers(nil, "")), 0)
+}
+
+// The story: an availability zone was lost with a third of the instances and workers in it,
+// the holder of the term among them. The next holder had the term soon, and reached no worker
+// for a second and more: workers waited for sessions that were being opened, and instances
+// of the lost zone were tried one after the other, so that some session was always being
+// opened. With more instances there were more to try.
+//
+// The evidence: in the log of the next holder the first reports came with the last
+// `keeper_not_won`, of which there were as many as instances in the lost zone.
+func TestLostZoneHoldsUpNoWorker(t *testing.T) {
+	for _, instances := range []int{12, 60} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newSharedFleet(t, newSimWorkers(manyWorkers, time.Second), instances)
+				f.makeKnown(f.holder.instance, zoneOfKeeper)
+				dead := f.loseEveryThird()
+				f.start()
+				defer f.stop()
+				begin := time.Now()
+				f.submit("a1", manyWorkers)
+				time.Sleep(2 * time.Second)
+				is.True(dead > 0)
+				is.Equal(f.startedLater(begin.Add(recoverySoon)), 0)
+				is.Equal(f.done(), manyWorkers)
+				is.Equal(f.doubles(), 0)
+			})
+		})
+	}
+}
+
+// recoverySoon is within which a new holder of the term has ordered what it has room for:
+// two seconds are meant for the whole recovery, of which the silence of the former takes
+// more than one.
+const recoverySoon = 600 * time.Millisecond
+
+// zoneOfKeeper is the availability zone of an instance, one of those that workers are in.
+func zoneOfKeeper(name string) string { return "z" + name[len(name)-1:] }
+
+// loseEveryThird takes the instances of every third zone away.
+func (f *sharedFleet) loseEveryThird() int {
+	lost := 0
+	for name := range f.others {
+		if number := int(name[len(name)-1] - '0'); number%3 == 0 {
+			f.hang(name)
+			lost++
+		}
+	}
+	return lost
+}
+
+// startedLater counts the workers whose newest run began after a moment.
+func (f *sharedFleet) startedLater(than time.Time) int {
+	return f.workers.sum(func(w *simWorker) int {
+		if w.startedAt.After(than) {
+			return 1
+		}
+		return 0
+	})
+}
+
+// After a loss of all instances those that are called first are still reading the log. Their
+// sessions wait for that, rather than be refused and rest for seconds.
+func TestSessionWaitsForAnInstanceThatReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSharedFleet(t, newSimWorkers(manyWorkers, time.Second), 8)
+		for _, instance := range f.others {
+			instance.work.loaded = false
+		}
+		f.start()
+		defer f.stop()
+		begin := time.Now()
+		f.submit("a1", manyWorkers)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(len(f.workers.drivenBy(time.Second)), 0) // better than all by the holder
+		for _, instance := range f.others {
+			instance.work.lock.Lock()
+			instance.work.loaded = true
+			instance.work.lock.Unlock()
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(f.startedLater(begin.Add(300*time.Millisecond+recoverySoon)), 0)
+		is.Equal(f.done(), manyWorkers)
+		for name := range f.workers.drivenBy(2 * holdWait) {
+			is.True(strings.HasPrefix(name, "keeper-"))
+		}
+	})
+}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -107,9 +107,6 @@
 	return list
 }
 
-// InstanceCount is how many instances have said where they answer.
-func (t *Table) InstanceCount() int { return len(t.instances) }
-
 // Counts returns how many jobs are in each state.
 func (t *Table) Counts() map[State]int {
 	counts := map[State]int{}
