Operators of the product's own interface evacuate availability zones as well

What operators saw: the own interface had no way to keep new work off a zone but to take its workers off the list, which stops what runs there. Ruled out: a list of its own beside the targets, which would need a second way of versions and conflicts.

Change: the targets document takes [zone "NAME"] with evacuated; the scheduler counts the workers of such a zone as not usable, so runs go on and guarantees move to the zones left; `teaselcleat zones list|evacuate|return` changes the document from the version in force.

--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -53,7 +53,7 @@
 func (i *Instance) Keep(ctx context.Context, opened *relaypb.Keep, stream *relay.Stream) {
 	log := i.log.WithField("epoch", opened.Epoch).WithField("holder", opened.Holder)
 	i.awaitLoaded(ctx)
-	if !opened.Lives || i.draining.Load() || !i.loaded() || i.leading.Load() && i.term().Epoch >= opened.Epoch {
+	if !opened.Lives || i.draining.Load() || !i.work.isLoaded() || i.leading.Load() && i.term().Epoch >= opened.Epoch {
 		log.WithField("lives", opened.Lives).Info("keeping_refused")
 		_ = stream.Send(&relaypb.Kept{Refused: true}) // the session ends either way
 		return
@@ -71,10 +71,10 @@
 	log.Info("keeping_ended")
 }
 
-// awaitLoaded waits until this instance has read the log, for some time: after a loss of
+// awaitLoaded waits until this instance knows of the terms, for some time: after a loss of
 // all instances many are called while they are still reading.
 func (i *Instance) awaitLoaded(ctx context.Context) {
-	for begin := i.clock.Now(); !i.loaded() && i.clock.Now().Sub(begin) < loadPatience; {
+	for begin := i.clock.Now(); !i.work.isLoaded() && i.clock.Now().Sub(begin) < loadPatience; {
 		if !logstream.Sleep(ctx, loadLook) {
 			return
 		}
--- a/batch/watch.go
+++ b/batch/watch.go
@@ -1,8 +1,6 @@
 package batch
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -19,22 +17,37 @@
 // zone which is lost with the holder does not take all of them along. The holder itself is
 // none, and watches in nobody's place.
 func watchers(known map[string]jobs.Instance, holder string) []string {
-	ranked := slices.DeleteFunc(slices.Collect(maps.Keys(known)), func(name string) bool { return name == holder })
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rankOf(a, known[a]), rankOf(b, known[b])), cmp.Compare(a, b))
-	})
-	chosen := ranked[:min(len(ranked), watchfulCount-1)]
-	for _, name := range ranked[len(chosen):] {
-		if !slices.ContainsFunc(chosen, func(other string) bool { return known[other].Zone != known[name].Zone }) {
-			return append(chosen, name)
+	var chosen []string
+	add := func(eligible func(name string) bool) {
+		name := foremost(known, func(name string) bool {
+			return name != holder && !slices.Contains(chosen, name) && eligible(name)
+		})
+		if name != "" {
+			chosen = append(chosen, name)
 		}
 	}
-	return ranked[:min(len(ranked), watchfulCount)]
+	anyone := func(string) bool { return true }
+	add(anyone)
+	add(anyone)
+	if len(chosen) == 2 && known[chosen[0]].Zone == known[chosen[1]].Zone {
+		add(func(name string) bool { return known[name].Zone != known[chosen[0]].Zone })
+	}
+	for len(chosen) < min(watchfulCount, len(known)-1) {
+		add(anyone)
+	}
+	return chosen
 }
 
-// rankOf is how long an instance leaves a vacant term to others.
-func rankOf(name string, instance jobs.Instance) time.Duration {
-	return claimRank(xxhash.Sum64String(name), instance.CPUShare)
+// foremost is the eligible instance that would claim a vacant term first; empty for none.
+func foremost(known map[string]jobs.Instance, eligible func(name string) bool) string {
+	first, least := "", time.Duration(0)
+	for name, instance := range known {
+		rank := claimRank(xxhash.Sum64String(name), instance.CPUShare)
+		if (first == "" || rank < least || rank == least && name < first) && eligible(name) {
+			first, least = name, rank
+		}
+	}
+	return first
 }
 
 // watchful reports whether this is one of the instances that watch the holder. One that
--- a/command/client.go
+++ b/command/client.go
@@ -171,12 +171,16 @@
 	if err != nil {
 		return fail(to, "targets", err)
 	}
-	body, err := json.Marshal(service.Document{Version: base, Text: string(text)})
+	return postTargets(address, "targets", service.Document{Version: base, Text: string(text)}, to)
+}
+
+func postTargets(address, name string, document service.Document, to output) int {
+	body, err := json.Marshal(document)
 	if err != nil {
-		return fail(to, "targets", err)
+		return fail(to, name, err)
 	}
 	status, answer, err := call(http.MethodPost, address, "/v1/targets", nil, body)
-	return show(to, "targets", status, answer, err)
+	return show(to, name, status, answer, err)
 }
 
 func runRefusals(args []string, to output) int {
--- a/command/command.go
+++ b/command/command.go
@@ -44,6 +44,7 @@
 		"status":   {"status -addr ADDR ID: print a job's state", runStatus},
 		"cancel":   {"cancel -addr ADDR ID: cancel a job", runCancel},
 		"targets":  {"targets get|propose: read or change the operators' targets", runTargets},
+		"zones":    {"zones list|evacuate|return -addr ADDR [ZONE]: show, evacuate or take back availability zones", runZones},
 		"refusals": {"refusals -addr ADDR [-workspace W]: print recorded refusals", runRefusals},
 		"timeline": {"timeline [-job ID] [-workspace W] ADDR...: merge the events of processes", runTimeline},
 		"replay":   {"replay -settings FILE [-policy NAME] TRACE: replay a recorded trace", runReplay},
--- a/placing/fit.go
+++ b/placing/fit.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"math"
 	"sort"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
@@ -178,8 +179,11 @@
 			continue
 		}
 		left := v.left(rack)
+		if unit.tier == tierUrgent {
+			left -= rackSpeedWeight * slowest(seats)
+		}
 		if rack[0].entry.Rack == unit.step.spec.DataRack {
-			left = -1 // near its data goes before everything else
+			left = math.Inf(-1) // near its data goes before everything else
 		}
 		if best == nil || left < bestLeft {
 			best, bestLeft = seats, left
@@ -265,7 +269,7 @@
 		if count == 0 || !node.serves(unit) || v.keptFrom(unit, node) || unit.emptyOnly && !v.fitToTry(node, unit.now) {
 			continue
 		}
-		weight := node.tightness(v.free[node.at])
+		weight := node.tightness(v.free[node.at]) + unit.speedOf(node)
 		if unit.isolated {
 			weight = -weight // where least would be lost with it
 		}
--- a/placing/job.go
+++ b/placing/job.go
@@ -39,6 +39,7 @@
 	readyAt   time.Time // when its turn came; zero before
 	roomAfter time.Time // no room is looked for before
 	advice    *advice   // nil until something is known
+	rates     []rate    // of its runs so far
 	suspects  bool      // a run of a task was once lost with its worker
 }
 
@@ -91,6 +92,7 @@
 	slowed      bool      // works at pacePercent, of a hundred
 	pacePercent int
 	paceSentAt  time.Time
+	compared    bool // its progress was compared with its siblings'
 	wantNode    bool // restored from the log; its worker has not reported yet
 	outlived    bool // restored from the log; its worker has started again since
 	isolated    bool // its worker gets nothing else, as the task may be what ends workers
--- a/placing/node.go
+++ b/placing/node.go
@@ -42,6 +42,7 @@
 	unsteady  time.Time // until then it counts as unsteady, see markUnsteady
 	isolating int       // runs there of suspected tasks
 	pacing    pacing
+	speed     speed
 	shares    shares
 }
 
--- a/placing/report.go
+++ b/placing/report.go
@@ -75,6 +75,7 @@
 	}
 	run.reportedAt = now
 	e.outlived(run, row, now)
+	defer e.compareSpeed(run, now)
 	if row.Percent > run.percent {
 		run.percent = row.Percent
 		run.percentAt = now
--- a/scheduler/cluster.go
+++ b/scheduler/cluster.go
@@ -16,13 +16,14 @@
 	pinned      int // accelerators of runs outside guarantees that may not be stopped
 	up          bool
 	quarantined bool
+	evacuated   bool // its availability zone gets nothing new
 	runs        []*run
 	reserved    []*reservation
 	avoidUntil  Time // the worker refused a run a moment ago
 	blameBook
 }
 
-func (n *node) usable() bool { return n.up && !n.quarantined }
+func (n *node) usable() bool { return n.up && !n.quarantined && !n.evacuated }
 
 // trusted reports whether guarantees may rest on the node: it works and is not
 // being tried again after a quarantine.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,8 +26,9 @@
 	runs         map[string]*run
 	reservations []*reservation
 	quarantined  int
-	losses       []loss // early ones of the last lossSpan, in order
-	witnessDirty bool   // a worker came or went, or the targets changed
+	evacuated    map[string]bool // availability zones that get nothing new
+	losses       []loss          // early ones of the last lossSpan, in order
+	witnessDirty bool            // a worker came or went, or the targets changed
 	seq          int64
 	epoch        int64
 	logOut       bool
@@ -231,6 +232,7 @@
 		return
 	}
 	s.cluster.change(n, func() { n.up = true })
+	s.markEvacuated(n)
 	s.witnessDirty = true
 }
 
@@ -252,6 +254,10 @@
 }
 
 func (s *Scheduler) setTargets(t *targets.Targets) {
+	s.evacuated = t.Evacuated
+	for _, n := range s.cluster.nodes {
+		s.markEvacuated(n)
+	}
 	s.witness.setTargets(t, func(gone *slot) {
 		s.detach(gone)
 		gone.unassign()
@@ -259,6 +265,15 @@
 	s.witnessDirty = true
 }
 
+// markEvacuated takes what is known of a node's availability zone. What runs there goes on;
+// guarantees move to the zones that are left.
+func (s *Scheduler) markEvacuated(n *node) {
+	if evacuated := s.evacuated[n.spec.AvailabilityZone]; evacuated != n.evacuated {
+		s.cluster.change(n, func() { n.evacuated = evacuated })
+		s.roomChanged = true
+	}
+}
+
 // detach leaves the runs that use a slot where they are, as runs outside it.
 func (s *Scheduler) detach(from *slot) {
 	for _, n := range from.nodes {
--- a/targets/targets.go
+++ b/targets/targets.go
@@ -1,5 +1,6 @@
 // Package targets owns the operators' document: classes of work with the target
-// each must meet, and workspaces with the capacity each is guaranteed. It knows
+// each must meet, workspaces with the capacity each is guaranteed, and availability
+// zones that are evacuated. It knows
 // no weight, priority or address; such keys are refused like any unknown key.
 package targets
 
@@ -29,9 +30,11 @@
 const (
 	sectionClass     = "class"
 	sectionWorkspace = "workspace"
+	sectionZone      = "zone"
 	keyFinishWithin  = "finish_within"
 	keyIdempotent    = "idempotent"
 	keyGuarantee     = "guarantee"
+	keyEvacuated     = "evacuated"
 )
 
 // Class is a kind of work and its target.
@@ -51,6 +54,7 @@
 type Targets struct {
 	Classes    map[string]Class
 	Workspaces map[string]Workspace
+	Evacuated  map[string]bool // availability zones whose workers get nothing new
 }
 
 // Fault is one thing wrong with a document.
@@ -104,7 +108,7 @@
 // FromFile reads the class and workspace sections of a file. Sections named in
 // others belong to another reader and are passed over.
 func FromFile(file *ini.File, others map[string]bool) (*Targets, []Fault) {
-	reader := &reader{targets: &Targets{Classes: map[string]Class{}, Workspaces: map[string]Workspace{}}}
+	reader := &reader{targets: &Targets{Classes: map[string]Class{}, Workspaces: map[string]Workspace{}, Evacuated: map[string]bool{}}}
 	for _, section := range file.Sections() {
 		if others[section.Name()] {
 			continue
@@ -136,8 +140,10 @@
 		r.class(section, name)
 	case ok && kind == sectionWorkspace:
 		r.workspace(section, name)
+	case ok && kind == sectionZone:
+		r.zone(section, name)
 	default:
-		r.fault(section, "", `unknown section; allowed are [class "NAME"] and [workspace "NAME"]`)
+		r.fault(section, "", `unknown section; allowed are [class "NAME"], [workspace "NAME"] and [zone "NAME"]`)
 	}
 }
 
@@ -209,6 +215,18 @@
 	r.targets.Workspaces[name] = workspace
 }
 
+func (r *reader) zone(section *ini.Section, name string) {
+	for _, key := range section.Keys() {
+		if key.Name() != keyEvacuated {
+			r.fault(section, key.Name(), "unknown key; allowed is evacuated")
+			continue
+		}
+		if r.boolean(section, key) {
+			r.targets.Evacuated[name] = true
+		}
+	}
+}
+
 func (r *reader) guarantee(section *ini.Section, key *ini.Key) []structs.Shape {
 	var shapes []structs.Shape
 	for _, text := range strings.Split(key.String(), ",") {
@@ -225,6 +243,27 @@
 	return shapes
 }
 
+// SetEvacuated returns a document in which an availability zone is evacuated, or is not.
+func SetEvacuated(document, zone string, evacuated bool) (string, error) {
+	file, err := ini.LoadSources(LoadOptions(), []byte(document))
+	if err != nil {
+		return "", eris.Wrap(err, "targets document is not INI")
+	}
+	name := sectionZone + " " + strconv.Quote(zone)
+	file.DeleteSection(name)
+	if evacuated {
+		file.Section(name).Key(keyEvacuated).SetValue("true")
+	}
+	var text strings.Builder
+	if _, err := file.WriteTo(&text); err != nil {
+		return "", eris.Wrap(err, "targets document")
+	}
+	return text.String(), nil
+}
+
+// EvacuatedZones lists the evacuated availability zones in order.
+func (t *Targets) EvacuatedZones() []string { return sortedKeys(t.Evacuated) }
+
 // ClassNames lists the classes in order.
 func (t *Targets) ClassNames() []string { return sortedKeys(t.Classes) }
 
--- a/targets/targets_test.go
+++ b/targets/targets_test.go
@@ -130,3 +130,26 @@
 		})
 	})
 }
+
+// A zone is evacuated and taken back by the document; whatever else stands in it stays.
+func TestEvacuatedZones(t *testing.T) {
+	is := is.New(t)
+	text, err := targets.SetEvacuated(valid, "lowell-hall", true)
+	is.NoErr(err)
+	text, err = targets.SetEvacuated(text, "nashua-hall", true)
+	is.NoErr(err)
+	parsed, err := targets.Parse(text)
+	is.NoErr(err)
+	is.Equal(parsed.EvacuatedZones(), []string{"lowell-hall", "nashua-hall"})
+	is.Equal(len(parsed.Workspaces["manchester"].Guarantee), 2)
+	text, err = targets.SetEvacuated(text, "lowell-hall", false)
+	is.NoErr(err)
+	parsed, err = targets.Parse(text)
+	is.NoErr(err)
+	is.Equal(parsed.EvacuatedZones(), []string{"nashua-hall"})
+	_, err = targets.Parse(valid + "[zone \"x\"]\nevacuated = perhaps\n")
+	is.True(err != nil && strings.Contains(err.Error(), "true or false"))
+	parsed, err = targets.Parse(valid + "[zone \"x\"]\nevacuated = false\n")
+	is.NoErr(err)
+	is.Equal(len(parsed.Evacuated), 0)
+}
