The models and the storm play evacuations and lost zones; starting instances yield the store to the next holder

What was seen: the random model found, in its 34th case (seed 0xf42d7e, 6 workers), a start ordered on a worker whose zone the holder knew to be evacuated: it stood in the plan that had not been carried out. The link kept it back, so nothing was sent.

Beside it an instance sends no start that has waited in it when its own reading of the operators' stream is too old to know of an evacuation, as after a freeze.

All instances read what callers had written at that time, some 300 times the same, and reads share the store's bandwidth; the read of the claim was given up after 0.7 s. Change: instances that would not claim the term first read that 0.3 s later. Ruled out: election (the claim came 0.06 s after the start), the processor of the holder.

The storm evacuates zones, both at times, and loses zones with instances and workers; its ledger holds starts against evacuations where nothing held orders up on their way.

--- a/batch/evacuation.go
+++ b/batch/evacuation.go
@@ -14,6 +14,9 @@
 	// that places. Its age bounds that of the known evacuations, without which nothing
 	// starts.
 	evacuationWait = 400 * time.Millisecond
+	// startMargin is kept of the time in which an evacuation comes into force for the way
+	// of a start.
+	startMargin = time.Second
 	// retryEvacuated is told while every availability zone is evacuated: nobody knows how
 	// long, and urgent work has some seconds.
 	retryEvacuated = 2 * time.Second
@@ -125,8 +128,15 @@
 }
 
 // mayStartAt reports whether a start may be sent to a worker: not to one whose zone is
-// evacuated, as far as is known here.
-func (i *Instance) mayStartAt(zone string) bool { return !i.evacuations.contains(zone) }
+// evacuated, nor anywhere if this instance has not read for so long that it could not know. A
+// start may have waited in it while it was frozen.
+func (i *Instance) mayStartAt(zone string) bool {
+	if i.evacuations.contains(zone) {
+		return false
+	}
+	within := i.bounds.newest().Evacuate
+	return within <= 0 || i.clock.Now().Sub(i.operator.seenAt()) < within-startMargin
+}
 
 // evacuate passes the evacuated zones on to the decisions.
 func (l *leader) evacuate(now time.Time) {
--- a/batch/evacuation_test.go
+++ b/batch/evacuation_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+// An instance that was frozen, or whose reading has stopped, sends no start that has waited
+// in it: a zone may have been evacuated meanwhile.
+func TestInstanceThatHasNotReadSendsNoStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		instance := standbyOf(t, &tailStore{}, "a1")
+		virtual(instance.clock)
+		is.True(instance.mayStartAt("z1")) // no bound is stated
+		instance.SetBounds(Bounds{Evacuate: 5 * time.Second})
+		instance.operator.touch(instance.clock.Now())
+		is.True(instance.mayStartAt("z1"))
+		time.Sleep(5*time.Second - startMargin)
+		is.True(!instance.mayStartAt("z1"))
+		instance.operator.touch(instance.clock.Now())
+		is.True(instance.mayStartAt("z1"))
+	})
+}
+
 // evacuate has all instances read that a zone is evacuated, or taken back.
 func (f *sharedFleet) evacuate(zone, value string) {
 	for _, instance := range f.others {
--- a/batch/follow.go
+++ b/batch/follow.go
@@ -59,6 +59,7 @@
 	gap    func() time.Duration // pause after a read that brought records
 	wait   func() time.Duration // how long a read may wait for one
 	wanted func() bool          // whether to follow now; nil for always
+	yields time.Duration        // how long others may read first
 	roused chan struct{}        // see rouse
 	onLost func()               // called when a read is not answered
 
@@ -74,6 +75,7 @@
 
 // run follows the stream until ctx ends.
 func (f *follower) run(ctx context.Context) {
+	logstream.Sleep(ctx, f.yields)
 	pause := retryFirst
 	for ctx.Err() == nil {
 		if f.wanted != nil && !f.wanted() {
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -38,6 +38,9 @@
 	// detailStandby is the same of the progress on those that would place next, so
 	// that they have little left to read when they do.
 	detailStandby = time.Second
+	// yieldTime is how long an instance that has just started leaves the store to those that
+	// would place: a claim, the progress and the list take that long.
+	yieldTime = 300 * time.Millisecond
 	// configPause follows a new configuration.
 	configPause = 20 * time.Millisecond
 )
@@ -110,7 +113,7 @@
 		i.detail = i.newDetailFollower(part)
 	}
 	for part := 1; part <= callPartsOf(settings.StoreParts); part++ {
-		i.calls = append(i.calls, i.newWorkFollower(part))
+		i.calls = append(i.calls, i.newCallFollower(part))
 		i.committers = append(i.committers, i.newCommitter(part))
 	}
 	if len(i.committers) == 0 {
@@ -155,6 +158,17 @@
 	return made
 }
 
+// newCallFollower follows a part with what callers wrote. Instances that would not claim the
+// term first leave the store to those that would: where all start at once, what they read
+// whole takes it a second, in which the next holder could not read its own claim.
+func (i *Instance) newCallFollower(part int) *follower {
+	made := i.newWorkFollower(part)
+	if claimRank(i.nameHash, i.settings.CPUShare) >= claimSpread {
+		made.yields = yieldTime
+	}
+	return made
+}
+
 // newDetailFollower follows the progress of jobs, while this instance places or
 // is one of those that would claim a vacant term first.
 func (i *Instance) newDetailFollower(part int) *follower {
--- a/batch/order_test.go
+++ b/batch/order_test.go
@@ -68,7 +68,7 @@
 	workers := &scriptedWorkers{answers: script}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	instance := &Instance{workers: workers, metrics: newInstruments(metrics.NewRegistry())}
+	instance := &Instance{workers: workers, metrics: newInstruments(metrics.NewRegistry()), bounds: newBounds(Bounds{})}
 	instance.clock = NewClock()
 	virtual(instance.clock)
 	host := instance.newLinkHost(1, logrus.NewEntry(logger))
--- a/batch/watch_test.go
+++ b/batch/watch_test.go
@@ -1,14 +1,17 @@
 package batch
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
 )
@@ -138,3 +141,43 @@
 		}
 	})
 }
+
+// newestStore notes when each part was read whole first.
+type newestStore struct {
+	outStore
+	lock sync.Mutex
+	read map[int]time.Time
+}
+
+func (s *newestStore) Newest(_ context.Context, stream Stream, part int) (Batch, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if stream == StreamWork && s.read[part].IsZero() {
+		s.read[part] = time.Now()
+	}
+	return Batch{}, nil
+}
+
+// Where all instances start at once, those with little processor leave the store to those
+// that would place: a claim was read back only after 0.7 s on 300 instances, as all of them
+// read all that callers had written. The terms are read by all at once.
+func TestInstancesThatWouldNotPlaceYieldTheStore(t *testing.T) {
+	for _, c := range []struct {
+		share  float64
+		yields time.Duration
+	}{{0.8, 0}, {0.192, yieldTime}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := &newestStore{read: map[int]time.Time{}}
+			instance := New(Settings{Name: "a", StoreParts: 8, CPUShare: c.share}, store, zoneDecoder{}, nil, metrics.NewRegistry(), quietLog())
+			begin := time.Now()
+			instance.Start()
+			time.Sleep(2 * yieldTime)
+			instance.Stop()
+			is.Equal(store.read[statePart].Sub(begin), time.Duration(0))
+			for part := 1; part <= callPartsOf(8); part++ {
+				is.Equal(store.read[part].Sub(begin), c.yields)
+			}
+		})
+	}
+}
--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -33,6 +33,7 @@
 type machine struct {
 	fleet  *fleet
 	name   string
+	zone   string // availability zone
 	server *httptest.Server
 	way    *standin.Proxy // by which instances reach it; nil for straight
 	slow   float64        // share of the time that its clock loses
@@ -43,7 +44,7 @@
 }
 
 func newMachine(f *fleet, name string) *machine {
-	m := &machine{fleet: f, name: name, slow: float64(len(f.machines)%2) * clockSlow}
+	m := &machine{fleet: f, name: name, zone: zoneOf(name), slow: float64(len(f.machines)%2) * clockSlow}
 	m.server = httptest.NewUnstartedServer(m)
 	m.server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
 		m.lock.Lock()
@@ -91,6 +92,10 @@
 	life.Lease = leaseMost
 	life.Slow = m.slow
 	life.Ledger = m.fleet.ledger
+	life.Zone = m.zone
+	if m.way != nil {
+		life.CalmFor = m.way.CalmFor
+	}
 	life.Crash = m.end
 	m.life = life
 	time.AfterFunc(lag, func() { m.list(life) })
@@ -112,8 +117,8 @@
 		born = fmt.Sprintf(`"born":%d,`, life.BornMS)
 	}
 	m.fleet.store.Put("keyed.servers", life.ID, fmt.Appendf(nil,
-		`{%s"service":"pool","address":%q,"zone":"z1","state":"ready","capacity":{"cpu":64000,"mem_mb":131072,"gpu":8},"labels":["a","r1-1"]}`,
-		born, m.address()))
+		`{%s"service":"pool","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":64000,"mem_mb":131072,"gpu":8},"labels":["a","r1-1"]}`,
+		born, m.address(), m.zone))
 }
 
 // address is where instances reach the machine.
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -58,9 +58,9 @@
 	fleetConfig = `{"version":%d,"routes":[{"name":"wear","host":"wear.example","path_prefix":"/wear/","target_latency_ms":1000,` +
 		`"priority":1,"service":"pool","max_attempts":2,"stretch":3}],"services":[{"name":"pool","admission_check":true}],` +
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144},"tenants":[{"name":"a","api_keys":["key-a"],"guaranteed":{"gpu":8}}]}`
-	fleetSettings = `{"node":%q,"zone":"z1","ip":"127.0.0.1","port_range":[%d,%d],"listen":{"front":%q,"ready":%q},` +
+	fleetSettings = `{"node":%q,"zone":%q,"zones":{"z1":"r1","z2":"r1"},"ip":"127.0.0.1","port_range":[%d,%d],"listen":{"front":%q,"ready":%q},` +
 		`"limits":{"memory_mb":284,"cpu_share":0.4,"cores":1},"heartbeat_ms":1500,"platform":{"address":%q,"parts":8,"call_bytes":2097152},` +
-		`"bounds":{"max_hold_ms":6000,"stop_ms":200,"gang_wait_ms":3000,"status_s":120,"grace_s":2,"reclaim_ms":2700,"remote_factor":3}}`
+		`"bounds":{"max_hold_ms":6000,"stop_ms":200,"gang_wait_ms":3000,"status_s":120,"grace_s":2,"reclaim_ms":2700,"remote_factor":3,"evacuate_ms":5000}}`
 )
 
 func newFleet(t testing.TB, instances, workers int) *fleet {
@@ -86,6 +86,35 @@
 	return f
 }
 
+// evacuateWithin is when nothing may start any more in an evacuated zone, as the settings of
+// the instances say.
+const evacuateWithin = 5 * time.Second
+
+// zoneOf is the availability zone of a machine or an instance, by the number at the end of
+// its name.
+func zoneOf(name string) string {
+	if last := name[len(name)-1]; last%2 == 0 {
+		return "z2"
+	}
+	return "z1"
+}
+
+// evacuate asks for a zone to get nothing new.
+func (f *fleet) evacuate(zone string) {
+	f.store.Put("keyed.op", "evacuate/"+zone, []byte("{}"))
+	if f.ledger != nil {
+		f.ledger.Evacuate(zone, evacuateWithin)
+	}
+}
+
+// takeBack ends an evacuation.
+func (f *fleet) takeBack(zone string) {
+	if f.ledger != nil {
+		f.ledger.Return(zone)
+	}
+	f.store.Put("keyed.op", "evacuate/"+zone, nil)
+}
+
 func (f *fleet) configure(version int) {
 	f.store.Put("keyed.op", "config", fmt.Appendf(nil, fleetConfig, version))
 }
@@ -141,7 +170,7 @@
 		made.others = f.proxy(fmt.Sprintf("127.0.0.1:%d", inner))
 		f.store.Translate(fmt.Sprintf("127.0.0.1:%d", inner), made.others.Address())
 	}
-	content := fmt.Sprintf(fleetSettings, name, inner, inner, front, made.ready, address)
+	content := fmt.Sprintf(fleetSettings, name, zoneOf(name), inner, inner, front, made.ready, address)
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/e2e/storm_test.go
+++ b/e2e/storm_test.go
@@ -89,8 +89,10 @@
 // or from all of these; the store is away, slow, loses answers, takes appends late, forgets its
 // history and moves to another address; the ways of the network are slow, silent one way,
 // reset, or pass few bytes at a time; workers are out of reach until their leases lapse, and
-// start again under their IDs; the configuration changes: several at a time, while callers hand in, repeat, cancel and ask. At no time does
-// a task run at two places, or again after its end was taken note of; what is refused never
+// start again under their IDs; availability zones are evacuated, and lost with the instances and
+// workers there; the configuration changes: several at a time, while callers hand in, repeat, cancel and ask. At no time does
+// a task run at two places, or again after its end was taken note of, nor is one started in a
+// zone that was evacuated five seconds before; what is refused never
 // starts; what is accepted ends; memory and files stay within the machine's.
 func TestPlatformStorm(t *testing.T) {
 	ledger := standin.NewTaskLedger()
--- a/e2e/stormfaults_test.go
+++ b/e2e/stormfaults_test.go
@@ -23,7 +23,7 @@
 	way := s.drawWay()
 	outage := time.Duration(s.random.Int64N(int64(longFault)))
 	harmMachine := stormFault{machine.name, func(time.Duration) { harm(machine.way, way, outage) }}
-	switch s.random.IntN(15) {
+	switch s.random.IntN(18) {
 	case 0, 1, 2, 3, 4, 5, 6, 7:
 		return s.drawOfInstance(way)
 	case 8, 9, 10:
@@ -38,6 +38,10 @@
 		}}
 	case 13:
 		return stormFault{"store", s.drawStore()}
+	case 14, 15, 16:
+		if s.former == "" { // such a version reads of no evacuation
+			return s.drawOfZone()
+		}
 	}
 	s.version++
 	version := s.version
--- a/placing/evacuation.go
+++ b/placing/evacuation.go
@@ -35,9 +35,26 @@
 	for _, known := range e.nodeOrder {
 		e.markEvacuated(known, now)
 	}
+	e.withdrawStarts(now)
 	e.dropEvacuatedClaims()
 }
 
+// withdrawStarts takes orders out of the plan that has not been carried out yet.
+func (e *Engine) withdrawStarts(now time.Time) {
+	orders := e.plan.Starts
+	e.plan.Starts = nil
+	for _, order := range orders {
+		known := e.nodes[order.Worker]
+		if known == nil || !known.evacuated {
+			e.plan.Starts = append(e.plan.Starts, order)
+			continue
+		}
+		if run := known.find(order.Task, order.Run); run != nil {
+			e.resolve(run, zoneEvacuated(known), now)
+		}
+	}
+}
+
 // EvacuationsSeen says as of when the evacuated zones are known.
 func (e *Engine) EvacuationsSeen(at time.Time) { e.evacuations.seenAt = at }
 
--- a/placing/evacuation_test.go
+++ b/placing/evacuation_test.go
@@ -110,6 +110,20 @@
 	is.Equal(len(decideUntil(e, testStart.Add(time.Second), time.Second)), 0) // the other waits for room
 }
 
+// Starts whose records are durable, and which are about to be sent, are taken out of the plan:
+// the random model found them in it (seed 0xf42d7e, 6 workers).
+func TestStartsAboutToBeSentLeaveAnEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	e := zonedEngine(testJob("0000000000000001", 1, testStep(4, 8)))
+	e.Decide(testStart)
+	e.Recorded(testStart)
+	e.Evacuate([]string{"z1"}, testStart)
+	is.Equal(startedAt(e.Decide(testStart.Add(time.Millisecond)).Starts), map[string]int{"b": 2})
+	for _, known := range e.nodeOrder {
+		is.True(!known.evacuated || len(known.runs) == 0)
+	}
+}
+
 // A gang that lies in both zones is dropped as a whole, and none of it stays claimed.
 func TestPlannedGangIsNotSplitByAnEvacuation(t *testing.T) {
 	is := is.New(t)
--- a/placing/property_test.go
+++ b/placing/property_test.go
@@ -16,7 +16,8 @@
 func TestMain(m *testing.M) { prooftest.Main(m, propertySteps) }
 
 // Whatever is lost, late, cut off or replaced: no task runs twice at a time or
-// after its end was noted, none before the steps it waits for, no job fails
+// after its end was noted, none before the steps it waits for, none is ordered where the
+// holder knows of an evacuation, no job fails
 // without the failures it is allowed, and once things are calm all jobs end.
 func TestNothingRunsTwiceAndAllEnds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -29,6 +30,7 @@
 			}
 		})
 		w.calm = true
+		w.openZones()
 		w.run(60*time.Second, func() {})
 		for _, fault := range w.faults {
 			t.Error(fault)
--- a/placing/world_test.go
+++ b/placing/world_test.go
@@ -34,6 +34,7 @@
 	ended   map[jobs.TaskKey]int  // ends as failed that were listed
 	noted   map[jobs.TaskKey]bool // ends as done that a worker was told to forget
 	done    map[jobs.TaskKey]bool // ends as done
+	closed  map[string]bool       // evacuated zones
 	faults  []string
 }
 
@@ -72,6 +73,7 @@
 	until    map[string]time.Time // leases that were asked for
 	heardAt  map[string]time.Time // of the newest answer
 	links    map[string]bool      // lives that are held
+	closed   map[string]bool      // evacuated zones, as it knows them
 }
 
 type modelRun struct {
@@ -103,7 +105,7 @@
 
 func newWorld(seed uint64, workers int) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 1)), now: testStart, table: jobs.NewTable(), listed: map[string]WorkerEntry{},
-		gone: map[string]bool{}, lost: map[jobs.TaskKey]int{}, ended: map[jobs.TaskKey]int{}, noted: map[jobs.TaskKey]bool{}, done: map[jobs.TaskKey]bool{}}
+		gone: map[string]bool{}, lost: map[jobs.TaskKey]int{}, ended: map[jobs.TaskKey]int{}, noted: map[jobs.TaskKey]bool{}, done: map[jobs.TaskKey]bool{}, closed: map[string]bool{}}
 	for range workers {
 		w.spawn()
 	}
@@ -118,6 +120,7 @@
 // bear starts a life of a worker, which holds and knows nothing of former ones.
 func (w *world) bear(name, rack string) *modelWorker {
 	entry := testWorker(name, rack)
+	entry.Zone = rack
 	entry.Name = name
 	entry.BornMS = w.now.UnixMilli()
 	entry.ID = LifeID(name, entry.BornMS)
@@ -206,6 +209,7 @@
 	w.epoch++
 	made := &holder{engine: testEngine(w.epoch), epoch: w.epoch, acks: map[string]int64{}, heardAt: map[string]time.Time{}, until: map[string]time.Time{},
 		lapseAt: map[string]time.Time{}, answered: map[string]bool{}, links: map[string]bool{}}
+	w.tellZones(made)
 	made.engine.Load(w.table.All(), FormerUnknown, w.now)
 	made.engine.Complete()
 	w.holder = made
@@ -280,6 +284,7 @@
 		h.acks[worker] = number
 	}
 	for _, start := range plan.Starts {
+		w.checkZone(h, start)
 		w.sendStart(h, start)
 	}
 	for _, stop := range plan.Stops {
--- a/placing/world_workers_test.go
+++ b/placing/world_workers_test.go
@@ -199,7 +199,9 @@
 		return
 	}
 	worker := w.present(w.workers[w.random.IntN(len(w.workers))].entry.Name)
-	switch w.random.IntN(7) {
+	switch w.random.IntN(8) {
+	case 7:
+		w.changeZone()
 	case 0:
 		w.takeOver()
 	case 1:
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -25,6 +25,7 @@
 
 	lock    sync.Mutex
 	faults  ProxyFaults
+	harmed  time.Time     // when faults last ended; zero if there were none
 	changed chan struct{} // closed when the faults change
 	open    map[net.Conn]bool
 	closed  bool
@@ -48,11 +49,22 @@
 func (p *Proxy) SetFaults(faults ProxyFaults) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	if p.faults != (ProxyFaults{}) {
+		p.harmed = time.Now()
+	}
 	p.faults = faults
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// CalmFor reports whether nothing has harmed the way for some time, so that nothing which
+// was sent longer ago can arrive now.
+func (p *Proxy) CalmFor(span time.Duration) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.faults == ProxyFaults{} && time.Since(p.harmed) >= span
+}
+
 // Reset breaks all open connections off, with a reset and without what was on its way.
 func (p *Proxy) Reset() {
 	p.lock.Lock()
--- a/standin/taskledger.go
+++ b/standin/taskledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // TaskLedger holds what several workers do against what must hold of a task wherever it
@@ -14,11 +15,41 @@
 	started map[string]int64       // when a task was last started, by count
 	noted   map[string]bool
 	faults  []string
+
+	evacuated map[string]time.Time // availability zones, by since when
+	within    time.Duration        // after which nothing may start there; see Evacuate
 }
 
 // NewTaskLedger returns a ledger of nothing.
 func NewTaskLedger() *TaskLedger {
-	return &TaskLedger{running: map[string]*TaskWorker{}, started: map[string]int64{}, noted: map[string]bool{}}
+	return &TaskLedger{running: map[string]*TaskWorker{}, started: map[string]int64{}, noted: map[string]bool{}, evacuated: map[string]time.Time{}}
+}
+
+// Evacuate says that nothing may be started in an availability zone from some time on,
+// until Return.
+func (l *TaskLedger) Evacuate(zone string, within time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.within = within
+	l.evacuated[zone] = time.Now()
+}
+
+// Return says that an availability zone may be used again.
+func (l *TaskLedger) Return(zone string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.evacuated, zone)
+}
+
+// checkZone is called with l.mu held.
+func (l *TaskLedger) checkZone(w *TaskWorker, task string, run int) {
+	since, evacuated := l.evacuated[w.Zone]
+	if !evacuated || time.Since(since) <= l.within {
+		return
+	}
+	if w.CalmFor == nil || w.CalmFor(l.within) {
+		l.fault("%s run %d starts on %s %v after its zone %s was evacuated", task, run, w.ID, time.Since(since), w.Zone)
+	}
 }
 
 // Faults are what did not hold.
@@ -46,6 +77,7 @@
 	if l.noted[task] {
 		l.fault("%s run %d starts on %s after its end as done was taken note of", task, run, w.ID)
 	}
+	l.checkZone(w, task, run)
 	l.running[task] = w
 	l.started[task] = l.count
 }
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -23,8 +23,10 @@
 	Lease   time.Duration // longest that it grants; 0 for any
 	Slow    float64       // share of the time that its clock loses
 	Crash   func()
-	Ledger  *TaskLedger // told of what runs here; nil for none
-	Gangs   *Gangs      // of the fleet; nil where every task works by itself
+	Zone    string                        // availability zone
+	CalmFor func(span time.Duration) bool // nothing has held up orders on their way for so long; nil for always
+	Ledger  *TaskLedger                   // told of what runs here; nil for none
+	Gangs   *Gangs                        // of the fleet; nil where every task works by itself
 
 	mu      sync.Mutex
 	halted  bool
