Urgent gangs go to fast workers where workers are found to differ in speed

Ruled out: waiting for room (first placement at once), preemption (1 of 94 parts of what is thrown away; 65 are jobs that callers cancel).

Change: the progress of tasks of one step, each looked at 1.5 s after its start, is compared over workers; urgent units prefer fast workers to tight ones, and fast racks. It counts only where the runs of one worker have more in common than chance, so a fleet whose workers are alike is placed as before; a new life and a new holder begin anew.

Why it holds: the estimate is a bounded mean of at most eight runs, outliers of workers that stand still are left out, and the test for differences has hysteresis.

Beside it: a start that is kept back on its way rests its worker for half a second, and only links without a grant of another instance ask how old their own reading is.

--- a/batch/drivers.go
+++ b/batch/drivers.go
@@ -106,6 +106,7 @@
 func newDrivers(l *leader) *drivers {
 	host := l.instance.newLinkHost(l.epoch, l.log)
 	host.report = func(ctx context.Context, answer event) { l.events.Put(ctx, ownAnswer{answer: answer}) }
+	host.mayStartAt = l.instance.mayStartUnasked
 	return &drivers{
 		leader:   l,
 		own:      newLinkSet(l.ctx, host, &l.running),
--- a/batch/evacuation.go
+++ b/batch/evacuation.go
@@ -128,14 +128,16 @@
 }
 
 // mayStartAt reports whether a start may be sent to a worker: not to one whose zone is
-// evacuated, nor anywhere if this instance has not read for so long that it could not know. A
-// start may have waited in it while it was frozen.
-func (i *Instance) mayStartAt(zone string) bool {
-	if i.evacuations.contains(zone) {
-		return false
-	}
+// evacuated, as far as this instance has read.
+func (i *Instance) mayStartAt(zone string) bool { return !i.evacuations.contains(zone) }
+
+// mayStartUnasked is the same where no grant of another instance bounds how long a start may
+// have waited here, as in one that was frozen: nothing is sent if this instance has not read
+// for so long that it could not know.
+func (i *Instance) mayStartUnasked(zone string) bool {
 	within := i.bounds.newest().Evacuate
-	return within <= 0 || i.clock.Now().Sub(i.operator.seenAt()) < within-startMargin
+	known := within <= 0 || i.clock.Now().Sub(i.operator.seenAt()) < within-startMargin
+	return known && i.mayStartAt(zone)
 }
 
 // evacuate passes the evacuated zones on to the decisions.
--- a/batch/evacuation_test.go
+++ b/batch/evacuation_test.go
@@ -142,14 +142,14 @@
 		is := is.New(t)
 		instance := standbyOf(t, &tailStore{}, "a1")
 		virtual(instance.clock)
-		is.True(instance.mayStartAt("z1")) // no bound is stated
+		is.True(instance.mayStartUnasked("z1")) // no bound is stated
 		instance.SetBounds(Bounds{Evacuate: 5 * time.Second})
 		instance.operator.touch(instance.clock.Now())
-		is.True(instance.mayStartAt("z1"))
+		is.True(instance.mayStartUnasked("z1"))
 		time.Sleep(5*time.Second - startMargin)
-		is.True(!instance.mayStartAt("z1"))
+		is.True(!instance.mayStartUnasked("z1"))
 		instance.operator.touch(instance.clock.Now())
-		is.True(instance.mayStartAt("z1"))
+		is.True(instance.mayStartUnasked("z1"))
 	})
 }
 
--- a/batch/order.go
+++ b/batch/order.go
@@ -32,8 +32,8 @@
 // errWithdrawn ends an order that is not wanted any more before it is sent.
 var errWithdrawn = eris.New("the order is not wanted any more")
 
-// errEvacuated ends a start that is not sent as its worker's zone is evacuated.
-var errEvacuated = eris.New("the availability zone is evacuated")
+// errEvacuated ends a start that is not sent as its worker's zone is evacuated, or may be.
+var errEvacuated = eris.New("the availability zone is evacuated, or not known not to be")
 
 // startRun sends a start and brings its answer to the placing duty. Once
 // withdrawn is closed no further try is sent: on a slow instance one may wait
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -29,6 +29,7 @@
 	sizes       map[string]*sizes    // by queue
 	unsteady    map[string]time.Time // by address: until when lives there count as unsteady
 	evacuations evacuations
+	differences differences
 	unexplained []time.Time // when workers fell silent lately without a run that had just begun, in order
 
 	urgentDemand demand
--- a/placing/fit.go
+++ b/placing/fit.go
@@ -178,10 +178,7 @@
 		if seats == nil {
 			continue
 		}
-		left := v.left(rack)
-		if unit.tier == tierUrgent {
-			left -= rackSpeedWeight * slowest(seats)
-		}
+		left := v.left(rack) - v.speedOfRack(seats, unit)
 		if rack[0].entry.Rack == unit.step.spec.DataRack {
 			left = math.Inf(-1) // near its data goes before everything else
 		}
@@ -269,7 +266,7 @@
 		if count == 0 || !node.serves(unit) || v.keptFrom(unit, node) || unit.emptyOnly && !v.fitToTry(node, unit.now) {
 			continue
 		}
-		weight := node.tightness(v.free[node.at]) + unit.speedOf(node)
+		weight := node.tightness(v.free[node.at]) + v.speedOf(node, unit)
 		if unit.isolated {
 			weight = -weight // where least would be lost with it
 		}
--- a/placing/place.go
+++ b/placing/place.go
@@ -62,6 +62,7 @@
 		}
 	}
 	open := newView(nodes)
+	open.speedsMatter = e.differences.matter
 	for _, job := range e.active {
 		if job.claim == nil {
 			continue
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -18,7 +18,7 @@
 	StartNoRoom                // refused, as the task does not fit there now
 	StartBusy                  // refused, as the worker is unhealthy
 	StartUnknown               // no answer; it may take effect, also later
-	StartEvacuated             // not sent, as the worker's availability zone is evacuated
+	StartEvacuated             // not sent, as the worker's availability zone is evacuated, or may be
 )
 
 const (
@@ -109,8 +109,7 @@
 	}
 	switch result {
 	case StartEvacuated:
-		e.resolve(run, zoneEvacuated(run.node), now)
-		return
+		run.node.fullUntil = now.Add(fullPause) // who drives the worker knows better, or less
 	case StartNoTicket:
 		run.task.step.ticketRefused(run.node.entry.ID)
 	case StartNoRoom:
--- a/placing/speed.go
+++ b/placing/speed.go
@@ -22,6 +22,15 @@
 	// is slow for some seconds, which its health tells.
 	slowestSpeed = 0.5
 	fastestSpeed = 2.0
+	// differOn and differOff are the variances of the logarithms of workers' speeds from which
+	// on, and below which no more, they count as different: about 8 and 5 in a hundred apart.
+	// Where all are alike, what is learned of each is chance, and worse to go by than nothing.
+	differOn  = 0.0064
+	differOff = 0.0025
+	// differLeast is how many pairs of runs have to be seen before, and differMemory how
+	// many the variance rests on at most.
+	differLeast  = 20
+	differMemory = 200
 	// speedWeight makes urgent work prefer fast workers to tight ones, whose weights lie
 	// within four; rackSpeedWeight, in cores, fast racks to those that it fills best.
 	speedWeight     = 6
@@ -38,9 +47,6 @@
 func (s speed) factor() float64 { return math.Exp(s.sum / (s.count + 1)) }
 
 func (s *speed) take(seen float64) {
-	if seen < slowestSpeed || seen > fastestSpeed {
-		return
-	}
 	if s.count >= speedMemory {
 		s.sum -= s.sum / s.count
 		s.count--
@@ -49,6 +55,36 @@
 	s.count++
 }
 
+// differences is how much workers differ in speed: runs of one worker have its speed in
+// common and nothing else, so the mean product of their deviations is the variance of speeds.
+type differences struct {
+	variance float64
+	pairs    float64
+	matter   bool
+}
+
+func (d *differences) see(product float64) {
+	d.pairs = min(differMemory, d.pairs+1)
+	d.variance += (product - d.variance) / d.pairs
+	switch {
+	case d.pairs >= differLeast && d.variance > differOn:
+		d.matter = true
+	case d.variance < differOff:
+		d.matter = false
+	}
+}
+
+// learnSpeed takes how fast a node was in one run.
+func (e *Engine) learnSpeed(known *node, seen float64) {
+	if seen < slowestSpeed || seen > fastestSpeed {
+		return
+	}
+	if known.speed.count > 0 {
+		e.differences.see(math.Log(seen) * known.speed.sum / known.speed.count)
+	}
+	known.speed.take(seen)
+}
+
 // rate is the progress of one run.
 type rate struct {
 	node *node
@@ -77,7 +113,7 @@
 		fresh = step.rates
 	}
 	for _, each := range fresh {
-		each.node.speed.take(each.each / usual)
+		e.learnSpeed(each.node, each.each/usual)
 	}
 }
 
@@ -93,13 +129,21 @@
 }
 
 // speedOf is what the speed of a node adds to its weight for a unit.
-func (u *unit) speedOf(node *node) float64 {
-	if u.tier != tierUrgent {
+func (v *view) speedOf(node *node, unit *unit) float64 {
+	if !v.speedsMatter || unit.tier != tierUrgent {
 		return 0
 	}
 	return speedWeight * (1 - node.speed.factor())
 }
 
+// speedOfRack is what the speed of a gang's seats in a rack is worth, in cores.
+func (v *view) speedOfRack(seats []seat, unit *unit) float64 {
+	if !v.speedsMatter || unit.tier != tierUrgent {
+		return 0
+	}
+	return rackSpeedWeight * slowest(seats)
+}
+
 // slowest is the speed of a gang on some seats.
 func slowest(seats []seat) float64 {
 	least := math.Inf(1)
--- /dev/null
+++ b/placing/speed_test.go
@@ -0,0 +1,150 @@
+package placing
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// speedOfWorker is that of one of a fleet: a third each is slow, usual and fast, spread over the
+// racks.
+func speedOfWorker(number int) float64 { return []float64{0.8, 1, 1.25}[number%3] }
+
+const (
+	speedWorkers = 30
+	// batchTime is how long a task of the batch takes on a worker of the usual speed, and
+	// urgentTime a task of an urgent gang.
+	batchTime  = 8 * time.Second
+	urgentTime = 2 * time.Second
+)
+
+// mixedFleet runs a batch of two tasks on each of thirty workers for long enough to tell their
+// speeds apart, with reports at moments that differ. What a task takes differs by a little.
+func mixedFleet(is *is.I, speedOf func(number int) float64) (e *Engine, now time.Time) {
+	step := testStep(2*speedWorkers, 1)
+	step.PerWorker = 2
+	e = testEngine(1)
+	e.Load([]*jobs.Job{{Submission: testJob("0000000000000001", 2, step)}}, FormerHandedOver, testStart)
+	e.Complete()
+	var entries []WorkerEntry
+	for number := range speedWorkers {
+		entries = append(entries, testWorker(fmt.Sprintf("w%02d", number), fmt.Sprintf("r1-%d", number/6)))
+	}
+	e.List(entries, testStart)
+	for _, entry := range entries {
+		e.Report(entry.ID, testStart, nil, nil, time.Time{}, testStart)
+	}
+	starts := startAll(e, testStart)
+	is.Equal(len(starts), 2*speedWorkers)
+	runs := map[string][]Start{}
+	for _, start := range starts {
+		runs[start.Worker] = append(runs[start.Worker], start)
+	}
+	for number, entry := range entries {
+		now = testStart.Add(speedAfter + time.Duration(number)*20*time.Millisecond)
+		var rows []RunningTask
+		for index, start := range runs[entry.ID] {
+			uneven := 1 + 0.1*math.Sin(float64(7*number+3*index)) // of the task, not of its worker
+			done := uneven * speedOf(number) * float64(now.Sub(testStart)) / float64(batchTime)
+			rows = append(rows, RunningTask{Task: start.Task, Run: 1, Percent: int(100 * done)})
+		}
+		e.Report(entry.ID, now, rows, nil, time.Time{}, now)
+	}
+	return e, now
+}
+
+// The load: a batch at work on workers of three speeds when an urgent gang comes that may
+// lie anywhere. Its caller gets it after the time of a fast worker; on any of those that are
+// free it would take that of a slow one.
+func TestUrgentGangGetsFastWorkers(t *testing.T) {
+	is := is.New(t)
+	e, now := mixedFleet(is, speedOfWorker)
+	gang := testStep(8, 6)
+	gang.Gang = true
+	e.Learn(&jobs.Job{Submission: testJob("0000000000000002", 0, gang)}, now)
+	starts := startAll(e, now.Add(100*time.Millisecond))
+	is.Equal(len(starts), 8)
+	slowest := math.Inf(1)
+	for _, start := range starts {
+		var number int
+		fmt.Sscanf(start.Worker, "w%02d", &number)
+		slowest = min(slowest, speedOfWorker(number))
+	}
+	is.Equal(slowest, 1.25)
+	is.True(time.Duration(float64(urgentTime)/slowest) < urgentTime)
+}
+
+// Work that is not urgent is placed as if all were alike.
+func TestOtherWorkTakesWorkersOfAnySpeed(t *testing.T) {
+	is := is.New(t)
+	e, now := mixedFleet(is, speedOfWorker)
+	is.True(e.differences.matter)
+	for _, known := range e.nodeOrder {
+		is.Equal(e.openView(now).speedOf(known, &unit{tier: tierOnTime}), 0.0)
+	}
+	is.True(e.nodeOrder[2].speed.factor() > 1.05)
+	is.True(e.nodeOrder[0].speed.factor() < 0.95)
+	is.True(now.After(testStart))
+}
+
+// One run on a worker that stands still for a moment says nothing of its speed; what is
+// known of a worker follows its newest runs, and ends with its life.
+func TestSpeedIsRobust(t *testing.T) {
+	is := is.New(t)
+	var s speed
+	is.Equal(s.factor(), 1.0)
+	for range 20 {
+		s.take(1.25)
+	}
+	is.True(math.Abs(s.factor()-1.25) < 0.04)
+	for range 20 {
+		s.take(0.8)
+	}
+	is.True(math.Abs(s.factor()-0.8) < 0.05)
+	e, now := mixedFleet(is, speedOfWorker)
+	before := e.nodes["w02"].speed
+	e.learnSpeed(e.nodes["w02"], 0.1)
+	e.learnSpeed(e.nodes["w02"], 7)
+	is.Equal(e.nodes["w02"].speed, before)
+	entry := e.nodes["w02"].entry
+	entry.ID, entry.Name, entry.BornMS = LifeID("w02", 7), "w02", 7
+	e.List([]WorkerEntry{entry}, now)
+	is.Equal(e.nodes[entry.ID].speed.factor(), 1.0)
+}
+
+// A gang's members go on together, whatever their workers could do alone: they tell nothing.
+func TestGangsTellNoSpeed(t *testing.T) {
+	is := is.New(t)
+	e := zonedEngine(testJob("0000000000000001", 1, spreadGang(4)))
+	for _, start := range startAll(e, testStart) {
+		later := testStart.Add(2 * speedAfter)
+		e.Report(start.Worker, later, []RunningTask{{Task: start.Task, Run: 1, Percent: 40}}, nil, time.Time{}, later)
+	}
+	for _, known := range e.nodeOrder {
+		is.Equal(known.speed, speed{})
+	}
+}
+
+// Where all workers are alike what is learned of each is chance: the tightest are taken, as
+// before. When the fleet is replaced by one of several speeds it shows, and the other way.
+func TestSpeedsCountOnlyWhereWorkersDiffer(t *testing.T) {
+	is := is.New(t)
+	e, now := mixedFleet(is, func(int) float64 { return 1 })
+	is.True(!e.differences.matter)
+	is.Equal(e.openView(now).speedOf(e.nodeOrder[0], &unit{tier: tierUrgent}), 0.0)
+	e, _ = mixedFleet(is, speedOfWorker)
+	is.True(e.differences.matter)
+	for range 2 * differMemory {
+		e.differences.see(0)
+	}
+	is.True(!e.differences.matter)
+	for range 2 * differMemory {
+		e.differences.see(0.03)
+	}
+	is.True(e.differences.matter)
+}
