--- a/batch/election.go
+++ b/batch/election.go
@@ -21,8 +21,8 @@
 	// claimSpread sets the instances' claims apart by their names, so that
 	// mostly one of them writes.
 	claimSpread = 300 * time.Millisecond
-	// ampleShare of a core is enough to place for 350 workers (measured: 0.2 to
-	// 0.3 at most); an instance without any would claim weakPenalty later.
+	// ampleShare of a core is enough to place for 350 workers; an instance without any
+	// would claim weakPenalty later.
 	ampleShare  = 0.4
 	weakPenalty = 2 * time.Second
 	// holderGone is when a holder that lost the store gives up, whatever the
--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -14,27 +14,19 @@
 // first takes whatever comes free, so gangs wait and urgent work has to stop
 // others. So work with time to spare leaves the emptiest workers alone, up to
 // what the work that it yields to has asked for lately.
-//
-// Measured on the heaviest days, ten seeds each: worth of the cooling deployment
-// 0.797 to 0.823, of the Authority's 0.841 to 0.883, of the stations' 0.792 to
-// 0.815; thrown away 0.048, 0.028 and 0.046 to 0.044, 0.021 and 0.035 of worth.
 const (
 	// demandHalfLife is the time in which a past peak of demand counts half.
-	// Bursts of the users' callers last four to six seconds; 2 s and 10 s measured
-	// the same.
+	// Bursts of the users' callers last four to six seconds.
 	demandHalfLife = 5 * time.Second
 	// mostKeptFromTasks bounds the share of the workers that is kept clear of tasks
-	// that start alone: 0.25 gained two thirds as much.
+	// that start alone: they find room on the rest as others of them end.
 	mostKeptFromTasks = 0.5
 	// mostKeptFromGangs bounds the same for gangs, which need whole workers
-	// themselves: 0.08 and 0.25 measured the same.
+	// themselves.
 	mostKeptFromGangs = 0.15
 	// spareShare of the work that is left is the time to spare below which a job
 	// takes any room that it finds, as does one that is late already: estimates are
-	// off by half. At 1 the tasks that wait were late more often (0.83 to 0.87 of
-	// their worth for 0.90 to 0.95), at 2 half of the gain was lost. With late ones
-	// waiting too, small tasks earned 0.27 of their worth on the heaviest of 30 days
-	// in place of 0.41.
+	// off by half. Late ones do not wait, as they would be late for good.
 	spareShare = 1.5
 	// idleShare of the workers in use is the least at which anything is kept clear:
 	// with half of them free there is room for all.
--- a/placing/place.go
+++ b/placing/place.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// passInterval and passPerNode set the least time between two passes: 7 ms
-	// with 48 workers, 20 ms with 350, of which a pass takes a twentieth.
+	// passInterval and passPerNode set the least time between two passes, some twenty
+	// times what a pass takes.
 	passInterval = 5 * time.Millisecond
 	passPerNode  = 43 * time.Microsecond
 	// rackPatience is how long a step waits for the rack that suits it, as a
--- a/placing/view.go
+++ b/placing/view.go
@@ -22,13 +22,10 @@
 	// rackFree and rackWhole are what the nodes of a rack have free and in all, by
 	// position in racks, as weighCores counts. Kept up to date, they need not be
 	// summed over all nodes for each step that is tried, and a rack with too little
-	// need not be looked through. With the scratch memory of waiting a pass over 6,800
-	// full workers takes 7.3 in place of 13.3 ms (BenchmarkPass, played in turn).
+	// need not be looked through.
 	rackFree, rackWhole []int64
 	// rackMost is at least the most accelerators that a node of a rack has free, by
 	// position in racks: racks without a node that could seat a task are passed over.
-	// With the shares that nodes keep a pass over 6,800 full workers takes 7.0 in place
-	// of 8.7 ms (BenchmarkPass, medians of six plays in turn).
 	rackMost []int64
 }
 
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -9,8 +9,7 @@
 
 const (
 	// beginAt is how many workers one instance keeps alone, and endAt below how many
-	// it takes them back: 350 workers take a quarter of a core and 55 MB of the
-	// holder (measured), which instances of 0.2 of a core and 184 MB still have. The
+	// it takes them back: the smallest instances can still keep 350 workers. The
 	// gap keeps a fleet that grows and shrinks by some workers from switching.
 	beginAt = 480
 	endAt   = 420
