The comment on yielding the store gives what is known

That the reads of all hold up the read of a claim is concluded from a trial after the change, not seen in a log. Comments alone: the file printed without them is the same.

--- a/batch/instance.go
+++ b/batch/instance.go
@@ -160,7 +160,7 @@
 
 // newCallFollower follows a part with what callers wrote. Instances that would not claim the
 // term first leave the store to those that would: where all start at once, what they read
-// whole takes it a second, in which the next holder could not read its own claim.
+// whole competes with what the next holder needs, its own claim first.
 func (i *Instance) newCallFollower(part int) *follower {
 	made := i.newWorkFollower(part)
 	if claimRank(i.nameHash, i.settings.CPUShare) >= claimSpread {
--- a/batch/watch_test.go
+++ b/batch/watch_test.go
@@ -160,7 +160,7 @@
 }
 
 // Where all instances start at once, those with little processor leave the store to those
-// that would place: a claim was read back only after 0.7 s on 300 instances, as all of them
+// that would place: a claim was read back only after 0.7 s on 300 instances, while all of them
 // read all that callers had written. The terms are read by all at once.
 func TestInstancesThatWouldNotPlaceYieldTheStore(t *testing.T) {
 	for _, c := range []struct {
