Steps that are held back beside room say by which preference

Operators could not tell from logs or metrics why a job waited: load counts what waits, not for what, and no line names the job. So the hypotheses of the incident (a wait for a rack, workers that count as unusable, a start that is lost, a holder that does not know its workers) could not be told apart from one job's lines.

Every 250 ms the holder looks which steps have waited for a second though they fit on workers that can be used, with no preference insisted on, and tells by which preferences they are held back: start_held, and start_overdue after the three seconds that users expect, beside room for it twice over in a pool less than half in use.

Test: TestStepThatIsHeldBackSaysByWhichPreference.

--- a/placing/fit.go
+++ b/placing/fit.go
@@ -32,7 +32,7 @@
 
 // serves reports whether a node may run the unit's tasks.
 func (n *node) serves(unit *unit) bool {
-	avoided := unit.tasks[0].avoid != "" && unit.tasks[0].avoid == n.entry.ID
+	avoided := !unit.anywhere && unit.tasks[0].avoid != "" && unit.tasks[0].avoid == n.entry.ID
 	suits := n.entry.Pool == unit.job.queue.Pool && n.entry.HasLabel(unit.step.spec.RequiredLabel)
 	return !avoided && suits && unit.advised(n)
 }
--- /dev/null
+++ b/placing/held_note_test.go
@@ -0,0 +1,43 @@
+package placing
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// heldFor returns what notes of an event say of a job.
+func heldFor(plan Plan, event, job string) []string {
+	var details []string
+	for _, note := range plan.Notes {
+		if note.Event == event && note.Job == job {
+			details = append(details, note.Detail)
+		}
+	}
+	return details
+}
+
+func TestStepThatIsHeldBackSaysByWhichPreference(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(2)
+	for rack := range 2 {
+		small := testStep(1, 1)
+		small.RequiredLabel = "r1-" + string(rune('0'+rack))
+		c.submit(testJob(hexID(rack+1), 1, small))
+	}
+	c.step()
+	gang := gangStep(8, 4) // a whole rack
+	gang.EstimateMS = 60_000
+	held := testJob(hexID(9), 1, gang)
+	c.submit(held)
+	var told []string
+	for range 30 {
+		told = append(told, heldFor(c.step(), "start_held", held.ID)...)
+	}
+	is.Equal(len(told), 1) // once in two seconds
+	is.True(strings.Contains(told[0], " for one_rack room_for 14 pool_used_percent "))
+	is.Equal(c.engine.jobs[held.ID].state, jobs.StateQueued)
+}
--- a/placing/job.go
+++ b/placing/job.go
@@ -38,6 +38,7 @@
 	left      int       // tasks not done
 	readyAt   time.Time // when its turn came; zero before
 	roomAfter time.Time // no room is looked for before
+	toldHeld  time.Time // when it was last told what holds it back
 	advice    *advice   // nil until something is known
 	rates     []rate    // of its runs so far
 	suspects  bool      // a run of a task was once lost with its worker
--- a/placing/place.go
+++ b/placing/place.go
@@ -51,6 +51,7 @@
 		}
 		e.placeUnit(unit, open, now)
 	}
+	e.tellHeld(units, open, now)
 }
 
 // openView is what is free on the nodes that may get new work.
@@ -61,23 +62,33 @@
 			nodes = append(nodes, known)
 		}
 	}
-	open := newView(nodes)
-	open.speedsMatter = e.differences.matter
+	return e.viewOf(nodes)
+}
+
+// viewOf is what is free on some nodes, beside what is set aside.
+func (e *Engine) viewOf(nodes []*node) *view {
+	made := newView(nodes)
+	made.speedsMatter = e.differences.matter
 	for _, job := range e.active {
 		if job.claim == nil {
 			continue
 		}
 		for _, seat := range job.claim.seats {
-			open.take(seat.node, seat.task.step.need())
+			made.take(seat.node, seat.task.step.need())
 		}
 	}
-	return open
+	return made
+}
+
+// usable reports whether a node can get new work.
+func (n *node) usable(now time.Time) bool {
+	there := n.listed && n.reported && n.answering && !n.entry.Leaving && !n.evacuated
+	return there && n.foreign == 0 && !now.Before(n.fullUntil)
 }
 
-// open reports whether a node may get new work.
+// open reports whether a node may get new work and is not better left alone.
 func (n *node) open(now time.Time) bool {
-	sound := n.listed && n.reported && n.answering && !n.entry.Leaving && !n.evacuated && n.foreign == 0 && n.isolating == 0
-	return sound && !now.Before(n.fullUntil) && !now.Before(n.health.until)
+	return n.usable(now) && n.isolating == 0 && !now.Before(n.health.until)
 }
 
 func (e *Engine) placeUnit(unit *unit, open *view, now time.Time) {
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -55,6 +55,7 @@
 	guaranteed bool            // has to begin within the reclaim time
 	isolated   bool            // suspected of ending workers; gets a worker of its own
 	emptyOnly  bool            // isolated, and still waits for an empty and steady worker
+	anywhere   bool            // free of preferences, see held.go
 	overdrawn  map[string]bool // workspaces whose urgent work may be stopped for it
 }
 
--- a/placing/urgent_test.go
+++ b/placing/urgent_test.go
@@ -19,14 +19,16 @@
 }
 
 // newCluster has racks of four workers with eight accelerators each.
-func newCluster(racks int) *cluster {
+func newCluster(racks int) *cluster { return newClusterOf(racks, 4) }
+
+func newClusterOf(racks, each int) *cluster {
 	c := &cluster{engine: testEngine(1), now: testStart, ends: map[string]int64{}}
 	c.engine.Load(nil, FormerHandedOver, c.now)
 	var entries []WorkerEntry
-	for index := range racks * 4 {
+	for index := range racks * each {
 		id := fmt.Sprintf("w%02d", index)
 		c.ids = append(c.ids, id)
-		entries = append(entries, testWorker(id, fmt.Sprintf("r1-%d", index/4)))
+		entries = append(entries, testWorker(id, fmt.Sprintf("r1-%d", index/each)))
 	}
 	c.engine.List(entries, c.now)
 	for _, id := range c.ids {
