A step waits for its rack only while that rack can come free in time

What callers saw: accepted gangs for one rack with nothing running for half a minute and more beside idle workers. Cause: a step waited for its rack for as long as its expected run time, whether any rack could come to hold it or not; the two on record need seven and eight workers of racks with six, so they could win nothing by it, for 35 to 118 s by their estimates.

Evidence: TestGangWiderThanEveryRackBeginsBesideIdleWorkers failed for gangs of 13, 14, 16 and 24 tasks on the code before, with start_overdue lines that name one_rack and nothing else; on the same code the new tests fail in which each rack lacks one worker that is away, in long use or in use by a lasting task (3 of 3), and in which a rack with the data holds four of six tasks. Ruled out for these tests: resting workers, lost starts, holders that do not know their workers, as there are none of these in them.

Change: before a step is left waiting though there is room elsewhere, what its rack has room for within the patience that is left is forecast from what the rack's workers hold when empty, less what runs there longer (by reported progress, else by the estimate; lasting tasks never end). Workers that this holder has not heard of yet count, those that are silent for a second do not. A gang waits if that holds all of it; of tasks near their data those wait that it holds, the others begin elsewhere at once. The forecast is only made where there is room elsewhere. The same for room made for urgent work: racks are given up for workers anywhere once no rack is worth waiting for.

Why it holds: a wait has to be able to win something now, whatever an estimate says. TestGangWaitsForARackThatComesFreeSoon holds the other side: it passes before and after.

--- a/placing/advice.go
+++ b/placing/advice.go
@@ -74,7 +74,7 @@
 	known := u.step.advice
 	var nodes []*node
 	for _, node := range open.nodes {
-		suits := node.entry.Pool == u.job.queue.Pool && node.entry.HasLabel(u.step.spec.RequiredLabel)
+		suits := u.mayUse(node)
 		if known != nil {
 			suits = suits && !known.barred[node.entry.ID] && !now.Before(known.tickets[node.entry.ID].until)
 		}
--- a/placing/fit.go
+++ b/placing/fit.go
@@ -33,8 +33,12 @@
 // serves reports whether a node may run the unit's tasks.
 func (n *node) serves(unit *unit) bool {
 	avoided := !unit.anywhere && unit.tasks[0].avoid != "" && unit.tasks[0].avoid == n.entry.ID
-	suits := n.entry.Pool == unit.job.queue.Pool && n.entry.HasLabel(unit.step.spec.RequiredLabel)
-	return !avoided && suits && unit.advised(n)
+	return !avoided && unit.mayUse(n) && unit.advised(n)
+}
+
+// mayUse reports whether a node is of the pool and kind that the unit's tasks ask for.
+func (u *unit) mayUse(n *node) bool {
+	return n.entry.Pool == u.job.queue.Pool && n.entry.HasLabel(u.step.spec.RequiredLabel)
 }
 
 // seats is how many tasks of a step fit on a node, up to most.
--- a/placing/place.go
+++ b/placing/place.go
@@ -10,13 +10,6 @@
 	// times what a pass takes.
 	passInterval = 5 * time.Millisecond
 	passPerNode  = 43 * time.Microsecond
-	// rackPatience is how long a step waits for the rack that suits it, as a
-	// share of its expected run time: away from it, it takes three times as
-	// long, so waiting up to its own run time is the better choice.
-	rackPatience = 1.0
-	// urgentShare of the reclaim time replaces it for urgent steps, which must
-	// have begun within all of it, and of which some must be stopped for.
-	urgentShare = 0.4
 )
 
 // place runs a pass, unless the last one was a moment ago: answers come in
@@ -82,8 +75,8 @@
 
 // usable reports whether a node can get new work.
 func (n *node) usable(now time.Time) bool {
-	there := n.listed && n.reported && n.answering && !n.entry.Leaving && !n.evacuated
-	return there && n.foreign == 0 && !now.Before(n.fullUntil)
+	stays := n.listed && n.reported && n.answering && !n.entry.Leaving && !n.evacuated
+	return stays && n.foreign == 0 && !now.Before(n.fullUntil)
 }
 
 // open reports whether a node may get new work and is not better left alone.
@@ -141,7 +134,7 @@
 // that suits the step, or those of the claim itself.
 func (e *Engine) seatsFor(unit *unit, held *claim, open *view, now time.Time) []seat {
 	if held == nil {
-		return open.fit(unit, !unit.isolated && e.patient(unit, now))
+		return e.bestSeats(unit, open, now)
 	}
 	if seats := open.fit(unit, true); seats != nil {
 		return seats
@@ -149,15 +142,6 @@
 	return open.vacant(unit, held.seats)
 }
 
-// patient reports whether the step still waits for its best rack.
-func (e *Engine) patient(unit *unit, now time.Time) bool {
-	patience := time.Duration(rackPatience * float64(e.runtime(unit.job, unit.tasks[0].key.Step)))
-	if unit.tier == tierUrgent {
-		patience = min(patience, e.urgentPatience())
-	}
-	return now.Sub(unit.step.readyAt) < patience
-}
-
 func (e *Engine) seat(unit *unit, seats []seat, open *view, now time.Time) {
 	number := 0
 	if unit.step.spec.Gang {
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -84,7 +84,7 @@
 }
 
 // choose finds what to stop. A gang that is slow unless in one rack gets the
-// rack that costs least; once its patience is over, or for any other step, all
+// rack that costs least; once no rack is worth waiting for, or for any other step, all
 // nodes are one field.
 func (e *Engine) choose(unit *unit, coming *view, now time.Time) ([]victim, []seat) {
 	fields := [][]*node{coming.nodes}
@@ -92,7 +92,7 @@
 		fields = coming.racks
 	}
 	best := e.cheapest(unit, coming, fields, now)
-	if best == nil && len(fields) > 1 && !e.patient(unit, now) {
+	if best == nil && len(fields) > 1 && e.coming(unit, now) == 0 {
 		best = e.cheapest(unit, coming, [][]*node{coming.nodes}, now)
 	}
 	if best == nil {
--- a/placing/rack_wait_test.go
+++ b/placing/rack_wait_test.go
@@ -36,3 +36,76 @@
 		})
 	}
 }
+
+func TestGangBeginsWhereEachRackLacksAWorkerForLong(t *testing.T) {
+	occupy := map[string]func(c *cluster, rack string){
+		"away": func(c *cluster, rack string) {
+			for _, known := range c.engine.nodeOrder {
+				if known.entry.Rack == rack {
+					c.engine.Unreachable(known.entry.ID, time.Time{}, c.now.Add(-backSoon))
+					return
+				}
+			}
+		},
+		"in use by a long task": func(c *cluster, rack string) {
+			small := testStep(1, 8)
+			small.RequiredLabel, small.EstimateMS = rack, 600_000
+			c.submit(testJob("long-"+rack, 2, small))
+		},
+		"in use by a lasting task": func(c *cluster, rack string) {
+			small := lastingStep(1)
+			small.RequiredLabel = rack
+			c.submit(testJob("lasting-"+rack, 2, small))
+		},
+	}
+	for name, occupyWorker := range occupy {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := racksOfSix()
+			for rack := range 8 {
+				occupyWorker(c, fmt.Sprintf("r1-%d", rack))
+			}
+			c.steps(2)
+			gang := gangStep(12, 4) // a whole rack
+			gang.EstimateMS = 60_000
+			held := testJob(hexID(1), 1, gang)
+			c.submit(held)
+			is.True(c.beginsWithin(held.ID, overdueAfter))
+		})
+	}
+}
+
+// Away from its rack a gang takes three times as long.
+func TestGangWaitsForARackThatComesFreeSoon(t *testing.T) {
+	is := is.New(t)
+	d := newDay(2)
+	for rack := range 2 {
+		small := testStep(2, 8) // half of the rack
+		small.RequiredLabel = fmt.Sprintf("r1-%d", rack)
+		d.hand(testJob(hexID(rack+1), 1, small), time.Second+time.Duration(rack)*time.Minute)
+	}
+	d.play()
+	gang := testJob(hexID(9), 1, gangStep(8, 4))
+	d.hand(gang, time.Second)
+	for range 40 {
+		if d.play(); d.begun(gang.ID) {
+			break
+		}
+	}
+	is.Equal(len(d.racksOf(gang.ID)), 1)
+	is.True(d.now.Sub(d.handed[gang.ID]) < 1500*time.Millisecond)
+}
+
+func TestTasksThatTheirDataRackCannotHoldInTimeBeginElsewhere(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(3)
+	step := testStep(6, 8) // the rack holds four
+	step.DataRack, step.EstimateMS = "r1-0", 60_000
+	held := testJob(hexID(1), 1, step)
+	c.submit(held)
+	c.steps(4)
+	is.Equal(len(c.racksOf(held.ID)), 2)
+	for _, task := range c.engine.jobs[held.ID].allTasks() {
+		is.True(task.run != nil)
+	}
+}
