In an idle pool preferences hold a step back for two seconds at most, whoever holds the term

What callers saw: accepted jobs with nothing running beside idle workers. The wait for a rack is one of several: workers at rest, workers that suspected tasks have to themselves, room kept clear, the worker that a task failed on, the rack of its data. Cause of the class: each of these preferences alone could leave work waiting while room was free, for as long as an estimate or a rest said, and the wait began anew with each holder of the term, as the moment of the step's turn was known to the holder that saw it first alone.

Change: preferences may hold a step back for 1.75 s while less than half of its pool is in use (of the resource of which most is), and a lasting task in any pool. After that it begins on whatever workers can be used at all, those that are better left alone last. The time counts from the step's turn: from the acceptance or the due time for first steps, for later ones from a time on the job's record (progress field u; instances of the version before pass over it, and records without it count from the holder's first look, as before). A holder is given a second in which its workers report. start_overdue now says that a step has waited for three seconds, two of them beside room for it twice over in an idle pool: nothing should be able to do that.

Evidence: TestStepHeldBackByWorkersAtRestBeginsInTimeInAnIdlePool fails on the code before, as do all workers at rest for a minute; TestStepThatWaitsBesideIdleRoomIsToldAsOverdue takes the bound away and has the line and the counter tell it.

Tried and changed: idle by cores, accelerators counting eight, let small tasks into room that is kept clear while all accelerators of half the workers were in use; then TestGangsAreServedAmongSmallTasks had 226 s of work stopped in place of 77 s and failed. By the resource of which most is in use it is 77 s as before.

--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -53,11 +53,14 @@
 // Progress is what became of a job. Of a job with a final state neither Done
 // nor Tasks is kept.
 type Progress struct {
-	State   State          `json:"-"`
-	Reason  string         `json:"y,omitempty"` // why it failed
-	EndedMS int64          `json:"e,omitempty"` // since 1970, of the final state
-	Done    Bits           `json:"d,omitempty"` // tasks that ended as done
-	Tasks   []TaskProgress `json:"t,omitempty"` // the others, of which a run was placed
+	State   State  `json:"-"`
+	Reason  string `json:"y,omitempty"` // why it failed
+	EndedMS int64  `json:"e,omitempty"` // since 1970, of the final state
+	// TurnedMS is when the turn of a step came that waits for others, since 1970; of
+	// several steps the latest. 0 if no such step's turn has come.
+	TurnedMS int64          `json:"u,omitempty"`
+	Done     Bits           `json:"d,omitempty"` // tasks that ended as done
+	Tasks    []TaskProgress `json:"t,omitempty"` // the others, of which a run was placed
 }
 
 // progressRecord is progress as it is written. When the lives of the tasks' workers began
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -46,7 +46,7 @@
 	ackFlight   map[*node]int64
 	passedAt    time.Time
 	summedAt    time.Time // see summarize
-	heldAt      time.Time // see tellHeld
+	heldAt      time.Time // see relieve
 	asking      *step     // for which a question is under way
 	askAfter    time.Time
 	formerLapse time.Time       // when all leases that former holders granted have lapsed
--- a/placing/fit.go
+++ b/placing/fit.go
@@ -277,6 +277,9 @@
 		if node.health.wary || unit.now.Before(node.unsteady) {
 			weight += probationWeight
 		}
+		if unit.anywhere && (!node.open(unit.now) || node.entry.ID == unit.tasks[0].avoid) {
+			weight += lastWeight
+		}
 		options = append(options, option{node: node, count: count, weight: weight + spare})
 		room += count
 	}
@@ -304,6 +307,9 @@
 // ones are taken only where nothing else fits.
 const probationWeight = 20
 
+// lastWeight is above these together: of workers that are better left alone.
+const lastWeight = 100
+
 // tightness is the free share of the node, accelerators counting twice as they
 // are what large tasks lack first. Least comes first, so that large holes stay
 // for large tasks.
--- a/placing/held.go
+++ b/placing/held.go
@@ -4,11 +4,15 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
 )
 
 // Work that fits on workers that can be used may still wait: another place suits it better,
 // or the room is better left to other work. Each such preference costs the work time. What
-// holds a step back, for how long and with how much room free is told here.
+// holds a step back, for how long and with how much room free is told here, and the wait is
+// bounded: in a pool that is mostly idle, and for tasks that last in any, a step begins on
+// whatever workers can be used soon after its turn came, whoever held the term meanwhile.
 
 const (
 	// heldLook is the time between two looks for steps that are held back.
@@ -17,52 +21,52 @@
 	// how often that is told again.
 	heldAfter = time.Second
 	heldTold  = 2 * time.Second
+	// beginWithin is how long preferences may hold a step back in an idle pool, and a lasting
+	// task anywhere. It leaves a second of overdueAfter for the look, the record and the start.
+	beginWithin = 1750 * time.Millisecond
+	// settleTime is how long a holder has known of the step by then: in its first moments
+	// most workers have not reported to it yet.
+	settleTime = time.Second
 	// overdueAfter is the time within which users expect a step whose turn has come to begin
-	// while its pool is mostly idle.
+	// in an idle pool with room for it.
 	overdueAfter = 3 * time.Second
-	// idleUse is the share of a pool in use below which users expect that.
+	// idleUse is the share in use below which a pool is idle.
 	idleUse = 0.5
-	// plentyTimes is how often over a step has to fit for that.
+	// plentyTimes is how often over a step has to fit for users to expect that.
 	plentyTimes = 2
 )
 
-// preference is a reason to leave work waiting though it fits somewhere.
-type preference int
-
-const (
-	preferOneRack   preference = iota // a gang's tasks in one rack
-	preferDataRack                    // the rack where the data lies
-	preferKeptClear                   // room that is kept clear of work that can wait
-	preferRested                      // workers that rest after failures
-	preferApart                       // a worker that a suspected task has to itself
-	preferEmpty                       // an empty and steady worker for a suspected task
-	preferOther                       // another worker than the last that it failed on
-	preferences
-)
-
-var preferenceNames = [preferences]string{"one_rack", "data_rack", "kept_clear", "rested", "apart", "empty", "other_worker"}
+// holdUps are the steps that preferences hold back, as seen in one look.
+type holdUps struct {
+	engine *Engine
+	now    time.Time
+	room   *view                   // of all nodes that can be used
+	kept   [classes]map[*node]bool // kept clear of classes of work
+	used   map[string]float64      // share of pools in use
+}
 
-// tellHeld says which units wait although they fit somewhere, and why.
-func (e *Engine) tellHeld(units []*unit, open *view, now time.Time) {
+// relieve seats units that preferences have held back for long enough, and says of others
+// that wait although they fit somewhere why they do. The pass's own view is not to be used
+// after it.
+func (e *Engine) relieve(units []*unit, open *view, now time.Time) {
 	if now.Sub(e.heldAt) < heldLook {
 		return
 	}
 	e.heldAt = now
-	var waiting []*unit
+	look := &holdUps{engine: e, now: now, used: map[string]float64{}}
 	for _, unit := range units {
-		if rest := unit.unseated(); len(rest.tasks) > 0 && now.Sub(unit.step.readyAt) >= heldAfter && now.Sub(unit.step.toldHeld) >= heldTold {
-			waiting = append(waiting, rest)
+		if now.Sub(unit.step.readyAt) < heldAfter || !look.idle(unit) && !look.untold(unit) {
+			continue
 		}
-	}
-	if len(waiting) == 0 {
-		return
-	}
-	kept := open.keptNodes()
-	fallback := e.fallback(now)
-	for _, unit := range waiting {
-		if seats := fallback.fit(unit, false); seats != nil {
-			e.noteHeld(unit, seats, kept, fallback, now)
+		rest := unit.unseated()
+		if len(rest.tasks) == 0 {
+			continue
+		}
+		if look.room == nil {
+			look.kept = open.keptNodes()
+			look.room = e.usableView(now)
 		}
+		look.settle(rest)
 	}
 }
 
@@ -81,9 +85,9 @@
 	return &rest
 }
 
-// fallback is the view of all nodes that can be used, whether they are better left alone
-// or not. Nodes are numbered anew: older views are not to be used after it.
-func (e *Engine) fallback(now time.Time) *view {
+// usableView is the view of all nodes that can be used, whether they are better left alone
+// or not. It numbers nodes anew.
+func (e *Engine) usableView(now time.Time) *view {
 	var nodes []*node
 	for _, known := range e.nodeOrder {
 		if known.usable(now) && e.roomKnown(known, now) {
@@ -93,68 +97,87 @@
 	return e.viewOf(nodes)
 }
 
-// keptNodes are the nodes that are kept clear, by the class of work that they are kept
-// clear of.
-func (v *view) keptNodes() [classes]map[*node]bool {
-	var kept [classes]map[*node]bool
-	for class, closed := range v.closed {
-		kept[class] = map[*node]bool{}
-		for at, isClosed := range closed {
-			if isClosed {
-				kept[class][v.nodes[at]] = true
-			}
-		}
+// settle seats a unit if it must begin and there is room, and else tells what holds it back.
+func (h *holdUps) settle(unit *unit) {
+	held := unit.takeBack(h.room, h.now)
+	seats := h.room.fit(unit, false)
+	h.watch(unit, seats)
+	begins := len(seats) > 0 && h.mustBegin(unit)
+	if held != nil && !begins {
+		unit.setAside(held, h.room)
+	}
+	if len(seats) > 0 && (begins || h.untold(unit)) {
+		h.tell(unit, seats)
+	}
+	if begins {
+		h.engine.seat(unit, seats, h.room, h.now)
+		delete(h.used, unit.job.queue.Pool)
 	}
-	return kept
 }
 
-func (e *Engine) noteHeld(unit *unit, seats []seat, kept [classes]map[*node]bool, fallback *view, now time.Time) {
-	unit.step.toldHeld = now
-	waited := now.Sub(unit.step.readyAt)
-	used := e.poolUse(unit.job.queue.Pool)
-	_, room := fallback.options(unit, fallback.nodes)
-	plenty := room >= plentyTimes*len(unit.tasks)
-	event := "start_held"
-	if waited >= overdueAfter && used < idleUse && plenty {
-		event = "start_overdue"
+// watch notes since when a unit has waited beside the room in which users expect it to
+// begin.
+func (h *holdUps) watch(unit *unit, seats []seat) {
+	plenty := len(seats) > 0 && h.idle(unit) && h.roomFor(unit) >= plentyTimes*len(unit.tasks)
+	if !plenty {
+		unit.step.roomSince = time.Time{}
+	} else if unit.step.roomSince.IsZero() {
+		unit.step.roomSince = h.now
 	}
-	e.note(event, unit.job, "", "step "+strconv.Itoa(unit.tasks[0].key.Step)+" tasks "+strconv.Itoa(len(unit.tasks))+
-		" tier "+strconv.Itoa(int(unit.tier))+" waited_ms "+strconv.FormatInt(waited.Milliseconds(), 10)+
-		" for "+strings.Join(unit.givenUp(seats, kept, now), ",")+" room_for "+strconv.Itoa(room)+
-		" pool_used_percent "+strconv.Itoa(int(100*used)))
 }
 
-// poolUse is the share of a pool that is in use, in cores.
-func (e *Engine) poolUse(pool string) float64 {
-	var used, whole int64
-	for _, known := range e.nodeOrder {
+// overdue reports whether a unit has waited for longer than users expect beside such room.
+func (h *holdUps) overdue(step *step) bool {
+	waited := h.now.Sub(step.readyAt) >= overdueAfter
+	return waited && !step.roomSince.IsZero() && h.now.Sub(step.roomSince) >= overdueAfter-heldAfter
+}
+
+// mustBegin reports whether preferences may hold a unit back no more.
+func (h *holdUps) mustBegin(unit *unit) bool {
+	known := h.now.Sub(unit.step.readyAt) >= beginWithin && h.now.Sub(unit.step.seenAt) >= settleTime
+	return known && h.idle(unit)
+}
+
+// idle reports whether a unit's pool is idle, as it always counts for tasks that last.
+func (h *holdUps) idle(unit *unit) bool {
+	return unit.step.spec.Lasting || h.use(unit.job.queue.Pool) < idleUse
+}
+
+// roomFor is how many tasks like a unit's there is room for.
+func (h *holdUps) roomFor(unit *unit) int {
+	_, room := h.room.options(unit, h.room.nodes)
+	return room
+}
+
+// untold reports whether it was not told lately what holds a unit back.
+func (h *holdUps) untold(unit *unit) bool { return h.now.Sub(unit.step.toldHeld) >= heldTold }
+
+// use is the share of a pool that is in use, of the resource of which most is.
+func (h *holdUps) use(pool string) float64 {
+	if known, seen := h.used[pool]; seen {
+		return known
+	}
+	var used, whole jobs.Resources
+	for _, known := range h.engine.nodeOrder {
 		if known.entry.Pool == pool && !known.evacuated {
-			used += weighCores(known.used)
-			whole += weighCores(known.entry.Capacity)
+			used = used.Add(known.used)
+			whole = whole.Add(known.entry.Capacity)
 		}
 	}
-	return share(used, whole)
+	h.used[pool] = part(used, whole)
+	return h.used[pool]
 }
 
-// givenUp names the preferences that a unit's seats would go against.
-func (u *unit) givenUp(seats []seat, kept [classes]map[*node]bool, now time.Time) []string {
-	var against [preferences]bool
-	spec := u.step.spec
-	for _, seat := range seats {
-		node := seat.node
-		against[preferOneRack] = against[preferOneRack] || spec.Gang && spec.OneRack && node.entry.Rack != seats[0].node.entry.Rack
-		against[preferDataRack] = against[preferDataRack] || spec.DataRack != "" && node.entry.Rack != spec.DataRack
-		against[preferKeptClear] = against[preferKeptClear] || kept[u.step.class()][node]
-		against[preferRested] = against[preferRested] || now.Before(node.health.until)
-		against[preferApart] = against[preferApart] || node.isolating > 0
-		against[preferEmpty] = against[preferEmpty] || u.isolated && len(node.runs) > 0
-		against[preferOther] = against[preferOther] || u.tasks[0].avoid == node.entry.ID
-	}
-	var names []string
-	for preference, isAgainst := range against {
-		if isAgainst {
-			names = append(names, preferenceNames[preference])
-		}
+// tell notes by which preferences a unit is held back from some seats.
+func (h *holdUps) tell(unit *unit, seats []seat) {
+	unit.step.toldHeld = h.now
+	event := "start_held"
+	if h.overdue(unit.step) {
+		event = "start_overdue"
 	}
-	return names
+	against := unit.against(seats, h.kept[unit.step.class()], h.now)
+	h.engine.note(event, unit.job, "", "step "+strconv.Itoa(unit.tasks[0].key.Step)+" tasks "+strconv.Itoa(len(unit.tasks))+
+		" tier "+strconv.Itoa(int(unit.tier))+" waited_ms "+strconv.FormatInt(h.now.Sub(unit.step.readyAt).Milliseconds(), 10)+
+		" for "+strings.Join(against, ",")+" room_for "+strconv.Itoa(h.roomFor(unit))+
+		" pool_used_percent "+strconv.Itoa(int(100*h.use(unit.job.queue.Pool))))
 }
--- a/placing/held_note_test.go
+++ b/placing/held_note_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -41,3 +42,32 @@
 	is.True(strings.Contains(told[0], " for one_rack room_for 14 pool_used_percent "))
 	is.Equal(c.engine.jobs[held.ID].state, jobs.StateQueued)
 }
+
+func TestStepThatWaitsBesideIdleRoomIsToldAsOverdue(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(3)
+	for _, known := range c.engine.nodeOrder {
+		known.health.pause(c.now, time.Minute)
+	}
+	held := testJob(hexID(1), 1, testStep(1, 1))
+	c.submit(held)
+	overdue := time.Duration(0)
+	for overdue == 0 && c.now.Sub(testStart) < 10*time.Second {
+		c.engine.jobs[held.ID].runs[0].steps[0].seenAt = c.now // so that nothing bounds the wait
+		if len(heldFor(c.step(), "start_overdue", held.ID)) > 0 {
+			overdue = c.now.Sub(testStart)
+		}
+	}
+	is.True(overdue >= overdueAfter && overdue < overdueAfter+heldTold+heldLook)
+}
+
+func TestStepHeldBackByWorkersAtRestBeginsInTimeInAnIdlePool(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(3)
+	for _, known := range c.engine.nodeOrder {
+		known.health.pause(c.now, time.Minute)
+	}
+	held := testJob(hexID(1), 1, testStep(1, 1))
+	c.submit(held)
+	is.True(c.beginsWithin(held.ID, overdueAfter))
+}
--- a/placing/job.go
+++ b/placing/job.go
@@ -17,6 +17,7 @@
 	reason     string
 	endedAt    time.Time
 	endedMS    int64
+	turnedMS   int64 // time of day when the turn of the newest step came that waited for others
 	dirty      bool
 	runs       []*occurrence
 	claim      *claim // capacity set aside while others are stopped for this job
@@ -36,9 +37,11 @@
 	spec      *jobs.Step
 	tasks     []*task
 	left      int       // tasks not done
-	readyAt   time.Time // when its turn came; zero before
+	readyAt   time.Time // when its turn came, whoever held the term then; zero before
+	seenAt    time.Time // when this holder first saw that
 	roomAfter time.Time // no room is looked for before
 	toldHeld  time.Time // when it was last told what holds it back
+	roomSince time.Time // since when it has waited beside plenty of room; zero: it does not
 	advice    *advice   // nil until something is known
 	rates     []rate    // of its runs so far
 	suspects  bool      // a run of a task was once lost with its worker
@@ -159,6 +162,7 @@
 	if j.state.Final() {
 		progress.EndedMS = j.endedMS
 	} else {
+		progress.TurnedMS = j.turnedMS
 		j.recordTasks(progress)
 	}
 	record, err := jobs.ProgressRecord(j.submission.ID, progress)
@@ -229,6 +233,7 @@
 		job.endedAt = job.acceptedAt.Add(time.Duration(progress.EndedMS-job.firstMS) * time.Millisecond)
 		return
 	}
+	job.turnedMS = progress.TurnedMS
 	tasks := job.allTasks()
 	for flat, task := range tasks {
 		if progress.Done.Has(flat) {
--- a/placing/place.go
+++ b/placing/place.go
@@ -44,7 +44,7 @@
 		}
 		e.placeUnit(unit, open, now)
 	}
-	e.tellHeld(units, open, now)
+	e.relieve(units, open, now)
 }
 
 // openView is what is free on the nodes that may get new work.
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -144,7 +144,8 @@
 			continue
 		}
 		if step.readyAt.IsZero() {
-			step.readyAt = now
+			step.readyAt = e.turnOf(job, occurrence, step, now)
+			step.seenAt = now
 		}
 		tasks := step.free(now)
 		if len(tasks) == 0 {
@@ -182,7 +183,7 @@
 		}
 		made := *from
 		made.isolated = true
-		made.emptyOnly = now.Sub(latest(task.losses.at, task.step.readyAt)) < isolationPatience
+		made.emptyOnly = now.Sub(latest(task.losses.at, task.step.seenAt)) < isolationPatience
 		if from.step.spec.Gang {
 			from.tasks = nil
 			return e.appendUnit(units, made)
--- a/placing/report.go
+++ b/placing/report.go
@@ -231,6 +231,7 @@
 	} else {
 		e.markDone(task)
 	}
+	e.noteTurns(job, task, now)
 	for _, occurrence := range job.runs {
 		if occurrence.left > 0 {
 			return
--- /dev/null
+++ b/placing/turn_test.go
@@ -0,0 +1,70 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// folded are jobs as a new holder of the term finds them on record.
+func folded(t *testing.T, submission *jobs.Submission, written []jobs.Record) []*jobs.Job {
+	t.Helper()
+	table := jobs.NewTable()
+	first, err := jobs.SubmissionRecord(submission)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for offset, record := range append([]jobs.Record{first}, written...) {
+		if _, err := table.Apply(record, 0, int64(offset)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return table.All()
+}
+
+func TestTurnOfAStepDoesNotDependOnWhoHoldsTheTerm(t *testing.T) {
+	is := is.New(t)
+	second := testStep(1, 1)
+	second.After = []int{0}
+	second.RequiredLabel = "nowhere"
+	submission := testJob(hexID(1), 1, testStep(1, 1), second)
+	submission.AcceptedMS = testStart.UnixMilli()
+	c := newCluster(1)
+	c.submit(submission)
+	c.steps(1)
+	first := c.engine.jobs[submission.ID].runs[0].steps[0].tasks[0]
+	c.now = c.now.Add(4 * time.Second)
+	turn := c.now
+	end := EndedTask{Number: 1, Task: first.key, Run: 1, How: EndDone}
+	c.engine.Report(first.run.node.entry.ID, c.now, nil, []EndedTask{end}, time.Time{}, c.now)
+	records := c.engine.Decide(c.now).Records
+
+	for _, later := range []time.Duration{time.Second, 5 * time.Second} {
+		next := testEngine(2)
+		next.Load(folded(t, submission, records), FormerHandedOver, turn.Add(later))
+		next.Complete()
+		next.Decide(turn.Add(later))
+		step := next.jobs[submission.ID].runs[0].steps[1]
+		is.True(step.readyAt.Equal(turn))
+		is.True(step.seenAt.Equal(turn.Add(later)))
+	}
+}
+
+func TestTurnOfAFirstStepIsWhenItsJobWasAccepted(t *testing.T) {
+	is := is.New(t)
+	submission := testJob(hexID(1), 1, testStep(1, 1))
+	submission.Steps[0].RequiredLabel = "nowhere"
+	for age, turn := range map[time.Duration]time.Time{
+		7 * time.Second:  testStart.Add(-7 * time.Second),
+		-7 * time.Second: testStart, // accepted by an instance whose time of day is ahead
+	} {
+		submission.AcceptedMS = testStart.Add(-age).UnixMilli()
+		e := testEngine(1)
+		e.Load([]*jobs.Job{{Submission: submission}}, FormerHandedOver, testStart)
+		e.Decide(testStart)
+		is.True(e.jobs[submission.ID].runs[0].steps[0].readyAt.Equal(turn))
+	}
+}
