The search of room for urgent work ends where a step may have no more tasks on a worker

What callers would see: the placing instance stops deciding, for good: nothing is placed, no end is taken in, until its term passes on, and the next holder meets the same step.

Cause: stopping others was taken to make room on a worker that had all the tasks of the step that PerWorker lets it have: the seat cost nothing, nobody was stopped for it, and the search took the same seat again and again. It needs an urgent step kept apart by PerWorker with more tasks waiting than workers are left for them.

Change: a worker with all the tasks that the step may have there offers no seat, and a seat for which nothing has to be stopped is none that stopping makes. Each turn of the search now stops at least one run, so it ends with the runs.

--- /dev/null
+++ b/placing/held_room_test.go
@@ -0,0 +1,57 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// Room is looked for by stopping others: a step kept apart by PerWorker gains nothing by that.
+func TestSearchOfRoomEndsForStepsWithMoreTasksThanWorkers(t *testing.T) {
+	for name, gang := range map[string]bool{"tasks": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(1)
+			spread := testStep(5, 1)
+			spread.Gang, spread.PerWorker = gang, 1
+			c.submit(testJob(hexID(1), 0, spread))
+			decided := make(chan struct{})
+			go func() {
+				c.steps(10)
+				close(decided)
+			}()
+			select {
+			case <-decided:
+			case <-time.After(2 * time.Second):
+				t.Fatal("the engine has not decided for 2 s of real time")
+			}
+		})
+	}
+}
+
+// A lasting step of an urgent queue is kept apart too, and one of its workers goes away.
+func TestSearchOfRoomEndsForLastingStepThatHasLostAWorker(t *testing.T) {
+	is := is.New(t)
+	s := newHeldSite(t, 1, 3)
+	lasting := testStep(3, 1)
+	lasting.Lasting, lasting.PerWorker = true, 1
+	job := s.submit(testJob(hexID(1), 0, lasting))
+	s.play(3 * time.Second)
+	is.Equal(s.runs(job, 0), 3)
+	decided := make(chan struct{})
+	go func() {
+		lost := s.lives[0]
+		lost.up = false
+		lost.running = map[jobs.TaskKey]crashRun{}
+		s.engine.Unreachable(lost.entry.ID, s.now, s.now)
+		s.play(time.Second)
+		close(decided)
+	}()
+	select {
+	case <-decided:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the engine has not decided for 2 s of real time")
+	}
+}
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -216,10 +216,14 @@
 }
 
 // seatOn stops runs on one node, least loss first, until one more task fits,
-// and spares those that turn out not to be needed.
+// and spares those that turn out not to be needed. It returns nil if no stop makes room,
+// as where the step may have no more tasks on the node.
 func (f *field) seatOn(node *node) *clearing {
 	need := f.unit.step.need()
 	before := f.work.seats(node, f.unit.step, need, len(f.unit.tasks))
+	if most := f.unit.step.spec.PerWorker; most > 0 && node.countOf(f.unit.step)+before >= most {
+		return nil
+	}
 	free := f.work.free[node.at]
 	for range before {
 		free = free.Sub(need)
@@ -243,6 +247,9 @@
 		found.victims = append(found.victims, candidates[index])
 		found.loss += candidates[index].loss
 	}
+	if len(found.victims) == 0 {
+		return nil
+	}
 	return found
 }
 
