A step that finds no seats hides another only if nothing but their kind rules workers out

What callers see: late work that has given up yielding waits on beside room that is kept clear, and work of queues with a policy waits though the workers that may run it are idle, as an alike step of another job found no seats just before.

Cause: what failed in a pass is remembered by the kind of the step, and the kind said neither that the step yields to the work that room is kept for nor which workers its tickets name.

Evidence: on the code before, TestStepThatMayRunNowhereDoesNotHideAnAlikeOneBehind (40 s of 40, tasks and gang), TestStepWithoutTicketsDoesNotHideAnAlikeOneWithThem (8.95 s), TestWorkThatCanWaitDoesNotHideLateWorkOfItsKind and TestGangThatCanWaitDoesNotHideALateOneOfItsKind (no start). In TestGangsAreServedAmongSmallTasks a late job was told to be held for kept_clear for 11 s, which late work should never be.

Change: whether a step yields is part of its kind, and steps of queues with a policy are always looked at. All tests of placing pass.

--- a/placing/fit.go
+++ b/placing/fit.go
@@ -13,6 +13,7 @@
 	pool, label, dataRack string
 	need                  jobs.Resources
 	gang, oneRack, strict bool
+	yields                bool // to the work that room is kept clear for
 }
 
 // seat is a place for one task.
@@ -96,7 +97,7 @@
 	return count
 }
 
-func (u *unit) kind(strict bool) kind {
+func (v *view) kind(u *unit, strict bool) kind {
 	spec := u.step.spec
 	return kind{
 		pool:     u.job.queue.Pool,
@@ -106,15 +107,17 @@
 		gang:     spec.Gang,
 		oneRack:  spec.OneRack,
 		strict:   strict,
+		yields:   v.yields(u),
 	}
 }
 
 // fit finds seats for the tasks of a unit. A gang gets seats for all tasks or
 // none; strict asks for the rack that suits the step best. What failed in this
-// pass for as many tasks or fewer of the same kind is not tried again.
+// pass for as many tasks or fewer of the same kind is not tried again, unless workers are
+// ruled out for the one step alone.
 func (v *view) fit(unit *unit, strict bool) []seat {
-	plain := unit.tasks[0].avoid == "" && unit.step.spec.PerWorker == 0 && !unit.isolated
-	key := unit.kind(strict)
+	plain := unit.tasks[0].avoid == "" && unit.step.spec.PerWorker == 0 && !unit.isolated && !unit.job.queue.Advised
+	key := v.kind(unit, strict)
 	tasks := 1
 	if unit.step.spec.Gang {
 		tasks = len(unit.tasks)
--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -175,6 +175,10 @@
 
 // keptFrom reports whether a node is kept clear of a unit.
 func (v *view) keptFrom(unit *unit, node *node) bool {
-	closed := v.closed[unit.step.class()]
-	return unit.patient && !unit.isolated && closed != nil && closed[node.at]
+	return v.yields(unit) && v.closed[unit.step.class()][node.at]
+}
+
+// yields reports whether a unit is kept from nodes that are kept clear.
+func (v *view) yields(unit *unit) bool {
+	return unit.patient && !unit.isolated && v.closed[unit.step.class()] != nil
 }
