Room is kept clear by pool, and never of tasks that last

What callers see: work of an idle pool waits because another pool is busy, and lasting tasks wait though room for them is there twice over.

Cause: what runs and what waits was summed over all pools, so a full pool made room be kept in idle ones, and on the emptiest workers wherever they were; and a lasting task yielded like any other work with time to spare, for as long as its estimate said.

Change: demand, load and kept room are each pool's own; lasting tasks do not yield. With one pool nothing changes: TestGangsAreServedAmongSmallTasks as before. TestRoomIsKeptOfWhatMayBeUsed and TestRoomIsKept read the sums by their pool now, and assert the same.

--- a/placing/engine.go
+++ b/placing/engine.go
@@ -32,8 +32,7 @@
 	differences differences
 	unexplained []time.Time // when workers fell silent lately without a run that had just begun, in order
 
-	urgentDemand demand
-	gangDemand   demand
+	demands map[string]*demands // by pool
 
 	plan        Plan
 	pending     []*run    // placed, their record not yet sent
@@ -74,6 +73,7 @@
 		learned:    map[string]*estimate{},
 		sizes:      map[string]*sizes{},
 		unsteady:   map[string]time.Time{},
+		demands:    map[string]*demands{},
 		ackPending: map[*node]int64{},
 		ackFlight:  map[*node]int64{},
 	}
--- a/placing/evacuation_test.go
+++ b/placing/evacuation_test.go
@@ -239,7 +239,7 @@
 	e := zonedEngine(testJob("0000000000000001", 2, testStep(4, 8)))
 	busyAll(e)
 	e.Evacuate([]string{"z1"}, testStart)
-	load := e.load(nil, e.openView(testStart))
+	load := e.loads(nil, e.openView(testStart))["pool"]
 	is.Equal(load.whole, 2.0)
 	is.Equal(load.used, 2.0)
 	is.Equal(load.running[classTask], 4.0)
--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -50,6 +50,9 @@
 	return d.peak
 }
 
+// demands are those that room is kept for in a pool.
+type demands struct{ urgent, gang demand }
+
 // class is the kind of work that room is kept for or kept clear of.
 type class int
 
@@ -110,52 +113,96 @@
 	return &n.shares
 }
 
-func (e *Engine) load(units []*unit, open *view) *load {
-	found := &load{}
+// loads sums up what runs and waits, by pool.
+func (e *Engine) loads(units []*unit, open *view) map[string]*load {
+	found := map[string]*load{}
+	of := func(pool string) *load {
+		if found[pool] == nil {
+			found[pool] = &load{}
+		}
+		return found[pool]
+	}
+	pool := ""
+	load := of(pool)
 	for _, node := range e.nodeOrder {
+		if node.entry.Pool != pool {
+			pool = node.entry.Pool
+			load = of(pool)
+		}
 		running := node.share()
 		for class, part := range running.by {
-			found.running[class] += part
+			load.running[class] += part
 		}
 		if !node.evacuated {
-			found.used += running.used
-			found.whole++
+			load.used += running.used
+			load.whole++
 		}
 	}
+	usual := open.usualCapacities()
 	for _, unit := range units {
-		if unit.tier != tierHopeless && len(open.nodes) > 0 {
-			found.waiting[unit.step.class()] += float64(len(unit.tasks)) * part(unit.step.need(), open.nodes[0].entry.Capacity)
+		pool := unit.job.queue.Pool
+		if capacity, known := usual[pool]; known && unit.tier != tierHopeless {
+			of(pool).waiting[unit.step.class()] += float64(len(unit.tasks)) * part(unit.step.need(), capacity)
 		}
 	}
 	return found
 }
 
-// keepRoom closes nodes to work that can wait, as far as the recent demand of
-// what goes before it is above what of that runs now.
+// usualCapacities is what a worker of each pool offers, as its first does.
+func (v *view) usualCapacities() map[string]jobs.Resources {
+	usual := map[string]jobs.Resources{}
+	pool := ""
+	for _, node := range v.nodes {
+		if node.entry.Pool == pool {
+			continue
+		}
+		pool = node.entry.Pool
+		if _, known := usual[pool]; !known {
+			usual[pool] = node.entry.Capacity
+		}
+	}
+	return usual
+}
+
+func (e *Engine) demandsOf(pool string) *demands {
+	if e.demands[pool] == nil {
+		e.demands[pool] = &demands{}
+	}
+	return e.demands[pool]
+}
+
+// keepRoom closes nodes of each pool to work that can wait, as far as the recent demand
+// there of what goes before it is above what of that runs now.
 func (e *Engine) keepRoom(units []*unit, open *view, now time.Time) {
-	load := e.load(units, open)
-	urgent := e.urgentDemand.see(load.asked(classUrgent), now) - load.running[classUrgent]
-	gangs := e.gangDemand.see(load.asked(classGang), now) - load.running[classGang]
-	if load.used < idleShare*load.whole {
-		return
+	for pool, load := range e.loads(units, open) {
+		known := e.demandsOf(pool)
+		urgent := known.urgent.see(load.asked(classUrgent), now) - load.running[classUrgent]
+		gangs := known.gang.see(load.asked(classGang), now) - load.running[classGang]
+		if load.used < idleShare*load.whole {
+			continue
+		}
+		open.keep(pool, classGang, min(urgent, mostKeptFromGangs*load.whole))
+		open.keep(pool, classTask, min(urgent+gangs, mostKeptFromTasks*load.whole))
 	}
-	open.keep(classGang, min(urgent, mostKeptFromGangs*load.whole))
-	open.keep(classTask, min(urgent+gangs, mostKeptFromTasks*load.whole))
 }
 
-// keep closes the emptiest nodes of the emptiest racks to a class of work, until
+// keep closes the emptiest nodes of the emptiest racks of a pool to a class of work, until
 // about wanted nodes' worth of capacity is free on them.
-func (v *view) keep(from class, wanted float64) {
-	v.closed[from] = make([]bool, len(v.nodes))
+func (v *view) keep(pool string, from class, wanted float64) {
+	if v.closed[from] == nil {
+		v.closed[from] = make([]bool, len(v.nodes))
+	}
 	unused := make([]float64, len(v.nodes))
 	rackUnused := make([]float64, len(v.racks))
 	for at, node := range v.nodes {
 		unused[at] = v.unused(node)
 		rackUnused[v.rackOf[at]] += unused[at]
 	}
-	order := make([]int, len(v.nodes))
-	for at := range order {
-		order[at] = at
+	order := make([]int, 0, len(v.nodes))
+	for at, node := range v.nodes {
+		if node.entry.Pool == pool {
+			order = append(order, at)
+		}
 	}
 	sort.SliceStable(order, func(a, b int) bool {
 		racks := rackUnused[v.rackOf[order[a]]] - rackUnused[v.rackOf[order[b]]]
@@ -180,5 +227,5 @@
 
 // yields reports whether a unit is kept from nodes that are kept clear.
 func (v *view) yields(unit *unit) bool {
-	return unit.patient && !unit.isolated && v.closed[unit.step.class()] != nil
+	return unit.patient && !unit.isolated && !unit.step.spec.Lasting && v.closed[unit.step.class()] != nil
 }
--- a/placing/headroom_test.go
+++ b/placing/headroom_test.go
@@ -156,7 +156,7 @@
 			}
 			nodes = append(nodes, node)
 		}
-		e.gangDemand.see(12, now)
+		e.demandsOf("pool").gang.see(12, now)
 		open := newView(nodes)
 		e.keepRoom(nil, open, now.Add(example.since))
 		e.Learn(&jobs.Job{Submission: testJob(hexID(99), 2, testStep(24, 4))}, now)
--- a/placing/held_behind_test.go
+++ b/placing/held_behind_test.go
@@ -81,7 +81,7 @@
 				if !alone {
 					c.submit(testJob(hexID(2), 1, example.step))
 				}
-				c.engine.urgentDemand.see(40, c.now)
+				c.engine.demandsOf("pool").urgent.see(40, c.now)
 				units := c.engine.waiting(c.now)
 				is.Equal(units[0].patient, !alone)
 				is.Equal(units[len(units)-1].tier, tierLate)
