Jobs that avoid workers wait in groups of their own

Callers saw jobs wait with workers free that they could use: they stood behind an alike job that had failed on these workers and avoids them.

Cause: a blocked first job of a group stands for all of it, and jobs with other workers to avoid were in the same group.

Change: what a job avoids is part of what makes it alike to others. A job whose blame is lifted while it waits is put into its new group. Groups without jobs are dropped; they stayed for good before, which such keys would have made worse.

Why it holds: which workers admit a job follows from its shape, whether it may be stopped, and what it avoids, all in the key. What is left is the declared run time, which decides before whose reservation a job may run: a long job still stands for shorter ones of its group there, for as long as that reservation.

--- a/scheduler/blame.go
+++ b/scheduler/blame.go
@@ -61,6 +61,7 @@
 	n.probation = false
 	for _, j := range n.streak {
 		j.unblame(n)
+		s.queue.regroup(j)
 	}
 	n.streak = nil
 	s.cluster.change(n, func() { n.quarantined = true })
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"sort"
+	"strings"
 
 	"github.com/teaselcleat/teaselcleat/structs"
 )
@@ -39,19 +41,30 @@
 	return false
 }
 
+// avoided names the workers that failed the job, the same for the same set of them.
+func (j *job) avoided() string {
+	names := make([]string, 0, len(j.blamed))
+	for _, n := range j.blamed {
+		names = append(names, n.spec.ID)
+	}
+	sort.Strings(names)
+	return strings.Join(names, " ")
+}
+
 // groupKey names jobs that are alike to the placement search.
 type groupKey struct {
 	workspace string
 	class     string
 	shape     structs.Shape
 	pinned    bool
+	avoided   string // workers that failed the jobs
 }
 
 // group holds queued jobs that are alike, by latest start. When its first job
 // finds no place, the others need not be tried.
 type group struct {
 	key  groupKey
-	seq  int
+	at   int // in the queue's order
 	jobs []*job
 }
 
@@ -80,7 +93,7 @@
 	return last
 }
 
-// queue holds the jobs that wait.
+// queue holds the jobs that wait, in groups that have some.
 type queue struct {
 	groups map[groupKey]*group
 	order  []*group
@@ -90,10 +103,10 @@
 func newQueue() *queue { return &queue{groups: map[groupKey]*group{}} }
 
 func (q *queue) add(j *job) {
-	key := groupKey{j.spec.Workspace, j.spec.Class, j.spec.Shape, j.pinned()}
+	key := groupKey{j.spec.Workspace, j.spec.Class, j.spec.Shape, j.pinned(), j.avoided()}
 	g := q.groups[key]
 	if g == nil {
-		g = &group{key: key, seq: len(q.order)}
+		g = &group{key: key, at: len(q.order)}
 		q.groups[key] = g
 		q.order = append(q.order, g)
 	}
@@ -108,6 +121,27 @@
 	}
 	heap.Remove(j.group, j.position)
 	q.size--
+	if len(j.group.jobs) == 0 {
+		q.drop(j.group)
+	}
+}
+
+func (q *queue) drop(empty *group) {
+	last := q.order[len(q.order)-1]
+	q.order[empty.at] = last
+	last.at = empty.at
+	q.order[len(q.order)-1] = nil
+	q.order = q.order[:len(q.order)-1]
+	delete(q.groups, empty.key)
+}
+
+// regroup moves a job to those that it is now alike to, if it is queued.
+func (q *queue) regroup(j *job) {
+	if j.position < 0 {
+		return
+	}
+	q.remove(j)
+	q.add(j)
 }
 
 // contender is a group's first job in one pass over the queue.
