Jobs wait for workers that are not in doubt as long as these are in use (fails)

Two more tests: a job that may not be repeated, beside an idle worker that failed another job, and a job whose only other worker refuses it again and again.

--- a/scheduler/caution_test.go
+++ b/scheduler/caution_test.go
@@ -10,9 +10,13 @@
 	"github.com/teaselcleat/teaselcleat/structs"
 )
 
-// cautionMost is how long a job may wait for a worker that is held in doubt while
-// everything is idle.
-const cautionMost = 2 * scheduler.Minute
+const (
+	// cautionMost is how long a job may wait for workers that are not in doubt while
+	// everything is idle.
+	cautionMost = 2 * scheduler.Minute
+	// cautionBusy is the same while such workers are in use.
+	cautionBusy = 11 * scheduler.Minute
+)
 
 // idler plays a scheduler whose runs end only as a test says.
 type idler struct {
@@ -52,6 +56,14 @@
 	i.step(scheduler.RunEnded{Run: place.Run, Result: result, Worker: worker})
 }
 
+// drop cancels a job and ends its run, if it has one.
+func (i *idler) drop(job string) {
+	i.step(scheduler.Cancelled{Job: job})
+	if _, running := i.runs[job]; running {
+		i.end(job, scheduler.RunAborted, "")
+	}
+}
+
 // starts reports whether a job that waits is placed or ended within a time.
 func (i *idler) starts(job string, within scheduler.Time) bool {
 	until := i.now + within
@@ -105,7 +117,7 @@
 		i.submit(jobOf(failing, "c", 1, 8))
 		i.end(failing, scheduler.RunFailed, i.runs[failing].Members[0].Worker)
 		i.end(failing, scheduler.RunFailed, i.runs[failing].Members[0].Worker)
-		i.step(scheduler.Cancelled{Job: failing})
+		i.drop(failing)
 	}
 	once := jobOf("once", "b", 1, 8)
 	once.Idempotent = false
@@ -120,9 +132,55 @@
 		failing := fmt.Sprintf("f%d", n)
 		i.submit(jobOf(failing, "c", 2, 8))
 		i.end(failing, scheduler.RunFailed, "w001")
-		i.step(scheduler.Cancelled{Job: failing})
+		i.drop(failing)
 	}
 	i.now += 10 * scheduler.Minute // the quarantine is over
 	i.submit(jobOf("gang", "b", 2, 8))
 	i.is.True(i.starts("gang", cautionMost))
 }
+
+// A job with one try waited beside an idle worker that had failed a job, for as long as
+// the others ran.
+func TestJobWithOneTryDoesNotWaitForAllRunsOfOthers(t *testing.T) {
+	i := newIdler(t, 2, 1)
+	i.submit(jobOf("failing", "c", 1, 8))
+	doubted := i.runs["failing"].Members[0].Worker
+	i.end("failing", scheduler.RunFailed, doubted)
+	i.drop("failing")
+	long := jobOf("long", "c", 1, 8)
+	i.submit(long)
+	if i.runs["long"].Members[0].Worker == doubted {
+		i.submit(jobOf("longer", "c", 1, 8))
+		i.end("long", scheduler.RunAborted, "")
+	}
+	once := jobOf("once", "b", 1, 8)
+	once.Idempotent = false
+	i.submit(once)
+	i.is.True(i.starts("once", cautionBusy))
+	i.is.Equal(i.runs["once"].Members[0].Worker, doubted)
+}
+
+// The wait for workers that are not in doubt began anew with each try that a worker refused.
+func TestRefusedStartDoesNotBeginTheWaitForOtherWorkersAnew(t *testing.T) {
+	i := newIdler(t, 3, 1)
+	i.submit(jobOf("j", "b", 1, 8))
+	failed := i.runs["j"].Members[0].Worker
+	i.end("j", scheduler.RunFailed, failed)
+	refusing := i.runs["j"].Members[0].Worker
+	for n := range 2 { // all but the worker that failed it are in use
+		i.submit(jobOf(fmt.Sprintf("long%d", n), "c", 1, 8))
+	}
+	for n := range 2 {
+		if long := fmt.Sprintf("long%d", n); i.runs[long].Members[0].Worker == failed {
+			i.drop(long)
+		}
+	}
+	for until := i.now + cautionBusy; i.now < until; {
+		i.end("j", scheduler.RunNotStarted, refusing)
+		i.is.True(i.starts("j", 5*scheduler.Second))
+		if i.runs["j"].Members[0].Worker == failed {
+			return
+		}
+	}
+	t.Fatal("it waits anew after each refusal")
+}
