Doubt of a worker keeps a job from it for a bounded time

Cause: a doubt (the job failed there, others failed there and this one has one try, the worker is to be tried by a small job first) is a preference for other workers, and was handled like a worker that is away: without a look at whether others can hold the job, and without an end.

Change: a job that finds no place among workers that are not in doubt takes one whose last failure is ten minutes old (or whose quarantine has been over for as long), and any if those not in doubt could not hold it when empty. The bound is of the worker's failure and not of the job's wait, so neither refused starts nor being queued again extend it. A job that fails again on a worker that it avoided, with no other to tell whose fault it is, comes nearer to its end.

Why it holds: each doubt now ends with time or at once, and quarantine, which ends after half an hour at most, is the only one that bars a worker. A new holder of the term knows of no doubts, so none begins anew with it.

--- a/scheduler/blame.go
+++ b/scheduler/blame.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "slices"
+
 // Constants of blame.
 const (
 	// quarantineAfter is how many different jobs in a row a worker fails before
@@ -14,6 +16,18 @@
 	lastProbe    = 30 * Minute
 	probeSlack   = 10 * Minute // what a job must be able to lose to serve as a probe
 	probeTimeCap = 30 * Minute
+	// doubtMost is how long jobs that doubt a worker wait for others after a failure
+	// there. Others may be in use for days.
+	doubtMost = 10 * Minute
+)
+
+// doubt is which doubts of workers a job heeds while it is tried.
+type doubt int
+
+const (
+	anyDoubt doubt = iota
+	newDoubt       // nothing else is free
+	noDoubt        // nothing else could hold the job
 )
 
 // blameBook is what is held against a worker.
@@ -22,6 +36,29 @@
 	probation  bool   // usable for one probing run only
 	probeAfter Time   // when a quarantined worker is tried again
 	probeWait  Time
+	doubtUntil Time // jobs that doubt the worker wait for others
+}
+
+// doubted reports whether a job had better not use a node: it has failed the job,
+// or others while this one has one try only, or is to be tried again by a small one.
+func (s *Scheduler) doubted(n *node, j *job, now Time) bool {
+	return j.blames(n) || j.pinned() && len(n.streak) > 0 || n.probation && !s.mayProbe(n, j, now)
+}
+
+// heeded is which doubts a job heeds that finds no place if it heeds any.
+func (s *Scheduler) heeded(j *job, now Time) doubt {
+	switch {
+	case !slices.ContainsFunc(s.cluster.nodes, func(n *node) bool { return s.doubted(n, j, now) }):
+		return anyDoubt
+	case s.holdsUndoubted(j, now):
+		return newDoubt
+	}
+	return noDoubt
+}
+
+// holdsUndoubted reports whether the workers that are not in doubt hold a job when empty.
+func (s *Scheduler) holdsUndoubted(j *job, now Time) bool {
+	return s.cluster.holdsEmpty(j.spec.Shape, func(n *node) bool { return n.usable() && !s.doubted(n, j, now) })
 }
 
 // mayProbe reports whether a job may test a worker that was in quarantine.
@@ -40,9 +77,13 @@
 	if n.probation {
 		return s.quarantine(n, now), false
 	}
-	if !j.blames(n) {
+	n.doubtUntil = now + doubtMost
+	switch {
+	case !j.blames(n):
 		j.blamed = append(j.blamed, n)
 		n.streak = append(n.streak, j)
+	case !s.holdsUndoubted(j, now):
+		j.failures++ // no other worker can tell whose fault it is
 	}
 	if len(n.streak) >= quarantineAfter {
 		actions = s.quarantine(n, now)
@@ -58,6 +99,7 @@
 	}
 	n.probeWait = min(max(2*n.probeWait, firstProbe), lastProbe)
 	n.probeAfter = now + n.probeWait
+	n.doubtUntil = n.probeAfter + doubtMost
 	n.probation = false
 	for _, j := range n.streak {
 		j.unblame(n)
--- a/scheduler/cluster.go
+++ b/scheduler/cluster.go
@@ -144,11 +144,17 @@
 
 // couldEverFit reports whether the shape fits the known workers when all are empty.
 func (c *cluster) couldEverFit(shape structs.Shape) bool {
+	return c.holdsEmpty(shape, func(*node) bool { return true })
+}
+
+// holdsEmpty reports whether the shape fits those of the workers that may be used when
+// all are empty.
+func (c *cluster) holdsEmpty(shape structs.Shape, mayUse func(*node) bool) bool {
 	total := 0
 	for _, r := range c.racks {
 		fitting := 0
 		for _, n := range r.nodes {
-			if n.spec.Accelerators >= shape.Accelerators {
+			if n.spec.Accelerators >= shape.Accelerators && mayUse(n) {
 				fitting++
 			}
 		}
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -51,6 +51,12 @@
 		return false, nil
 	}
 	j.nextTry = now + tryEvery
+	if j.heeds = s.heeded(j, now); j.heeds != anyDoubt {
+		defer func() { j.heeds = anyDoubt }()
+		if found, ok := s.find(j, now); ok {
+			return true, []Action{s.place(j, found, now)}
+		}
+	}
 	if found, ok := s.rearrange(j, now); ok {
 		return true, []Action{s.place(j, found, now)}
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -47,20 +47,19 @@
 	return nil
 }
 
-// admits reports whether a job may use a node now, room aside: the node works,
-// has not failed the job, is not kept for another job, and pinned work leaves
-// the promises reclaimable.
+// admits reports whether a job may use a node now, room aside: the node works
+// and the job does not wait for others since it is in doubt.
 func (s *Scheduler) admits(n *node, j *job, now Time) bool {
-	if !n.usable() || now < n.avoidUntil || j.blames(n) {
+	if !n.usable() || now < n.avoidUntil {
 		return false
 	}
-	if j.pinned() && len(n.streak) > 0 {
-		return false // it may be the worker's fault, and the job has one try only
-	}
-	if n.probation && !s.mayProbe(n, j, now) {
-		return false
+	switch j.heeds {
+	case noDoubt:
+		return true
+	case newDoubt:
+		return now >= n.doubtUntil || !s.doubted(n, j, now)
 	}
-	return true
+	return !s.doubted(n, j, now)
 }
 
 // fits reports whether a job may be placed outside its guarantee on a node now.
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -27,6 +27,7 @@
 	reservation *reservation
 	waitSince   Time
 	nextTry     Time // when room may be made for it again
+	heeds       doubt
 }
 
 // pinned reports whether a run of the job may not be stopped for others.
