A worker that did not start its last run is taken only if no other is free

Callers saw a gang wait beside an idle rack: it went to and fro between two racks that each had a worker without an answer, and was not tried in the third.

Cause: such a worker is left alone for 2 s. A try that is not answered takes 4.5 s at the usual lease of 6 s, so the first rack counted as good again when the second had failed; the choice between racks is by room alone.

Evidence: TestGangTriesAllRacksBeforeOneThatDidNotAnswer failed, and passes.

Change: a worker that did not start a run is one to avoid until it has started another, in the first search for room only. The second search takes it, so a job for which nothing else is free waits no longer than before: 2 s.

Why it holds: each failed try leaves one worker fewer for the first search, so all that are sound are tried before one is tried twice.

--- a/scheduler/blame.go
+++ b/scheduler/blame.go
@@ -25,18 +25,19 @@
 type doubt int
 
 const (
-	anyDoubt doubt = iota
-	newDoubt       // nothing else is free
-	noDoubt        // nothing else could hold the job
+	anyDoubt doubt = iota // and takes no worker that did not start its last run
+	newDoubt              // nothing else is free
+	noDoubt               // nothing else could hold the job
 )
 
 // blameBook is what is held against a worker.
 type blameBook struct {
 	streak     []*job // different jobs failed since the last success
+	refused    bool   // it did not start a run, and has started none since
 	probation  bool   // usable for one probing run only
 	probeAfter Time   // when a quarantined worker is tried again
 	probeWait  Time
-	doubtUntil Time // jobs that doubt the worker wait for others
+	doubtUntil Time // until then jobs that doubt the worker wait for others
 }
 
 // doubted reports whether a job had better not use a node: it has failed the job,
@@ -48,7 +49,7 @@
 // heeded is which doubts a job heeds that finds no place if it heeds any.
 func (s *Scheduler) heeded(j *job, now Time) doubt {
 	switch {
-	case !slices.ContainsFunc(s.cluster.nodes, func(n *node) bool { return s.doubted(n, j, now) }):
+	case !slices.ContainsFunc(s.cluster.nodes, func(n *node) bool { return n.refused || s.doubted(n, j, now) }):
 		return anyDoubt
 	case s.holdsUndoubted(j, now):
 		return newDoubt
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -13,6 +13,9 @@
 	}
 	s.finish(r)
 	j := r.job
+	if e.Result != RunNotStarted {
+		r.wasStarted()
+	}
 	took := j.progress + now - r.started
 	blamed := s.cluster.byID[e.Worker]
 	switch e.Result {
@@ -37,6 +40,13 @@
 	return s.requeue(j, e.Result == RunPreempted, now)
 }
 
+// wasStarted notes that all workers of a run took its start.
+func (r *run) wasStarted() {
+	for _, n := range r.nodes {
+		n.refused = false
+	}
+}
+
 // avoidAfterRefusal is how long a worker that refused a run is left alone.
 const avoidAfterRefusal = 2 * Second
 
@@ -44,6 +54,7 @@
 	j.runs--
 	if refused != nil {
 		refused.avoidUntil = now + avoidAfterRefusal
+		refused.refused = true
 	}
 	s.enqueue(j, now)
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -59,7 +59,7 @@
 	case newDoubt:
 		return now >= n.doubtUntil || !s.doubted(n, j, now)
 	}
-	return !s.doubted(n, j, now)
+	return !n.refused && !s.doubted(n, j, now)
 }
 
 // fits reports whether a job may be placed outside its guarantee on a node now.
