Jobs wait for workers that are not in doubt for an hour at most

The bound on a doubt of a worker was ten minutes. The hour still ends what had no end, and does not touch jobs that the workers free of doubt could not hold when empty: these take a doubted one at once, as before.

--- a/scheduler/blame.go
+++ b/scheduler/blame.go
@@ -18,7 +18,7 @@
 	probeTimeCap = 30 * Minute
 	// doubtMost is how long jobs that doubt a worker wait for others after a failure
 	// there. Others may be in use for days.
-	doubtMost = 10 * Minute
+	doubtMost = 60 * Minute
 )
 
 // doubt is which doubts of workers a job heeds while it is tried.
