Steps wait for a rack that could hold them; the bound in idle pools goes by cores and by room

Racks come free earlier than the forecast has it, and a gang on several racks takes three times the room.

So the share in use is not told by the resource of which most is in use.

So it is the expectation itself that bounds a wait now: two seconds without a break beside room for the step twice over in an idle pool. A holder that takes over a step that waits counts the wait there in full, once the pool's workers have reported to it, or a second has passed.

--- a/placing/held.go
+++ b/placing/held.go
@@ -4,15 +4,13 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/teaselcleat/teaselcleat/jobs"
 )
 
 // Work that fits on workers that can be used may still wait: another place suits it better,
 // or the room is better left to other work. Each such preference costs the work time. What
 // holds a step back, for how long and with how much room free is told here, and the wait is
-// bounded: in a pool that is mostly idle, and for tasks that last in any, a step begins on
-// whatever workers can be used soon after its turn came, whoever held the term meanwhile.
+// bounded: in a pool that is mostly idle, and for tasks that last in any, a step that fits
+// twice over begins within some seconds on whatever workers can be used.
 
 const (
 	// heldLook is the time between two looks for steps that are held back.
@@ -21,18 +19,17 @@
 	// how often that is told again.
 	heldAfter = time.Second
 	heldTold  = 2 * time.Second
-	// beginWithin is how long preferences may hold a step back in an idle pool, and a lasting
-	// task anywhere. It leaves a second of overdueAfter for the look, the record and the start.
-	beginWithin = 1750 * time.Millisecond
-	// settleTime is how long a holder has known of the step by then: in its first moments
-	// most workers have not reported to it yet.
-	settleTime = time.Second
 	// overdueAfter is the time within which users expect a step whose turn has come to begin
-	// in an idle pool with room for it.
+	// in an idle pool with plenty of room.
 	overdueAfter = 3 * time.Second
+	// beginWithin is how long preferences may hold a step back there. It leaves a second for
+	// two looks, the record and the start.
+	beginWithin = 2 * time.Second
+	// settleTime is how long a holder may wait for the workers of a pool to report to it.
+	settleTime = time.Second
 	// idleUse is the share in use below which a pool is idle.
 	idleUse = 0.5
-	// plentyTimes is how often over a step has to fit for users to expect that.
+	// plentyTimes is how often over a step fits where there is plenty of room.
 	plentyTimes = 2
 )
 
@@ -55,11 +52,14 @@
 	e.heldAt = now
 	look := &holdUps{engine: e, now: now, used: map[string]float64{}}
 	for _, unit := range units {
-		if now.Sub(unit.step.readyAt) < heldAfter || !look.idle(unit) && !look.untold(unit) {
+		tells := now.Sub(unit.step.readyAt) >= heldAfter && look.untold(unit)
+		if !look.idle(unit) && !tells {
+			unit.step.roomSince = time.Time{}
 			continue
 		}
 		rest := unit.unseated()
 		if len(rest.tasks) == 0 {
+			unit.step.roomSince = time.Time{}
 			continue
 		}
 		if look.room == nil {
@@ -102,11 +102,12 @@
 	held := unit.takeBack(h.room, h.now)
 	seats := h.room.fit(unit, false)
 	h.watch(unit, seats)
-	begins := len(seats) > 0 && h.mustBegin(unit)
+	begins := h.mustBegin(unit.step)
 	if held != nil && !begins {
 		unit.setAside(held, h.room)
 	}
-	if len(seats) > 0 && (begins || h.untold(unit)) {
+	tells := begins || h.untold(unit) && h.now.Sub(unit.step.readyAt) >= heldAfter
+	if tells && len(seats) > 0 {
 		h.tell(unit, seats)
 	}
 	if begins {
@@ -115,8 +116,7 @@
 	}
 }
 
-// watch notes since when a unit has waited beside the room in which users expect it to
-// begin.
+// watch notes since when a unit has waited in an idle pool with plenty of room.
 func (h *holdUps) watch(unit *unit, seats []seat) {
 	plenty := len(seats) > 0 && h.idle(unit) && h.roomFor(unit) >= plentyTimes*len(unit.tasks)
 	if !plenty {
@@ -126,16 +126,28 @@
 	}
 }
 
-// overdue reports whether a unit has waited for longer than users expect beside such room.
-func (h *holdUps) overdue(step *step) bool {
-	waited := h.now.Sub(step.readyAt) >= overdueAfter
-	return waited && !step.roomSince.IsZero() && h.now.Sub(step.roomSince) >= overdueAfter-heldAfter
+// mustBegin reports whether preferences may hold a step back no more. How much room there
+// was under former holders of the term is not known: the wait there counts in full.
+func (h *holdUps) mustBegin(step *step) bool {
+	if step.roomSince.IsZero() || !h.settled(step) {
+		return false
+	}
+	inherited := step.seenAt.Sub(step.readyAt) >= settleTime
+	return h.now.Sub(step.roomSince) >= beginWithin || inherited && h.now.Sub(step.readyAt) >= beginWithin
 }
 
-// mustBegin reports whether preferences may hold a unit back no more.
-func (h *holdUps) mustBegin(unit *unit) bool {
-	known := h.now.Sub(unit.step.readyAt) >= beginWithin && h.now.Sub(unit.step.seenAt) >= settleTime
-	return known && h.idle(unit)
+// settled reports whether the workers of a step's pool have reported to this holder, or
+// have had the time to.
+func (h *holdUps) settled(step *step) bool {
+	if h.now.Sub(step.seenAt) >= settleTime {
+		return true
+	}
+	for _, known := range h.engine.nodeOrder {
+		if known.entry.Pool == step.job.queue.Pool && !known.reported && known.expected(h.now) {
+			return false
+		}
+	}
+	return true
 }
 
 // idle reports whether a unit's pool is idle, as it always counts for tasks that last.
@@ -143,28 +155,34 @@
 	return unit.step.spec.Lasting || h.use(unit.job.queue.Pool) < idleUse
 }
 
-// roomFor is how many tasks like a unit's there is room for.
+// roomFor is how many tasks like a unit's there is room for, counted up to what is plenty on
+// each worker.
 func (h *holdUps) roomFor(unit *unit) int {
-	_, room := h.room.options(unit, h.room.nodes)
+	room := 0
+	for _, node := range h.room.nodes {
+		if node.serves(unit) {
+			room += h.room.seats(node, unit.step, unit.step.need(), plentyTimes*len(unit.tasks))
+		}
+	}
 	return room
 }
 
 // untold reports whether it was not told lately what holds a unit back.
 func (h *holdUps) untold(unit *unit) bool { return h.now.Sub(unit.step.toldHeld) >= heldTold }
 
-// use is the share of a pool that is in use, of the resource of which most is.
+// use is the share of a pool that is in use, in cores.
 func (h *holdUps) use(pool string) float64 {
 	if known, seen := h.used[pool]; seen {
 		return known
 	}
-	var used, whole jobs.Resources
+	var used, whole int64
 	for _, known := range h.engine.nodeOrder {
 		if known.entry.Pool == pool && !known.evacuated {
-			used = used.Add(known.used)
-			whole = whole.Add(known.entry.Capacity)
+			used += weighCores(known.used)
+			whole += weighCores(known.entry.Capacity)
 		}
 	}
-	h.used[pool] = part(used, whole)
+	h.used[pool] = share(used, whole)
 	return h.used[pool]
 }
 
@@ -172,7 +190,7 @@
 func (h *holdUps) tell(unit *unit, seats []seat) {
 	unit.step.toldHeld = h.now
 	event := "start_held"
-	if h.overdue(unit.step) {
+	if since := unit.step.roomSince; !since.IsZero() && h.now.Sub(since) >= overdueAfter {
 		event = "start_overdue"
 	}
 	against := unit.against(seats, h.kept[unit.step.class()], h.now)
--- a/placing/patience.go
+++ b/placing/patience.go
@@ -1,9 +1,6 @@
 package placing
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// rackPatience is how long a step waits for the rack that suits it, as a
@@ -19,7 +16,7 @@
 )
 
 // bestSeats finds seats for a unit where it suits it best. A step waits for its rack only
-// while that can come free in time; what of it cannot find room there goes elsewhere.
+// as far as that could hold it; what of it has no room there goes elsewhere.
 func (e *Engine) bestSeats(unit *unit, open *view, now time.Time) []seat {
 	if unit.isolated || !unit.wantsRack() {
 		return open.fit(unit, false)
@@ -32,7 +29,7 @@
 	if len(all) == len(near) {
 		return near
 	}
-	elsewhere := len(unit.tasks) - max(len(near), e.coming(unit, now))
+	elsewhere := len(unit.tasks) - max(len(near), e.worthWaiting(unit, now))
 	return all[:min(len(all), len(near)+elsewhere)]
 }
 
@@ -41,51 +38,42 @@
 	return u.step.spec.Gang && u.step.spec.OneRack || u.step.spec.DataRack != ""
 }
 
-// patience is how much longer a step may wait for its rack.
-func (e *Engine) patience(unit *unit, now time.Time) time.Duration {
+// patient reports whether a step's patience is not over.
+func (e *Engine) patient(unit *unit, now time.Time) bool {
 	patience := time.Duration(rackPatience * float64(e.runtime(unit.job, unit.tasks[0].key.Step)))
 	if unit.tier == tierUrgent {
 		patience = min(patience, e.urgentPatience())
 	}
-	return patience - now.Sub(unit.step.readyAt)
+	return now.Sub(unit.step.readyAt) < patience
 }
 
-// coming is how many of a unit's tasks may find room in its rack, now or while that is worth
-// waiting for; of a gang all or none.
-func (e *Engine) coming(unit *unit, now time.Time) int {
-	left := e.patience(unit, now)
-	if left <= 0 {
+// worthWaiting is how many of a unit's tasks had better be in its rack, also if they have to
+// wait for that; of a gang all or none.
+func (e *Engine) worthWaiting(unit *unit, now time.Time) int {
+	if !e.patient(unit, now) {
 		return 0
 	}
-	rooms := e.roomsOfRacks(unit, now.Add(left), now)
-	if unit.step.spec.Gang {
-		if len(rooms) > 0 && slices.Max(rooms) >= len(unit.tasks) {
+	rooms := e.roomsOfRacks(unit, now)
+	if !unit.step.spec.Gang {
+		return min(len(unit.tasks), rooms[unit.step.spec.DataRack])
+	}
+	for _, room := range rooms {
+		if room >= len(unit.tasks) {
 			return len(unit.tasks)
 		}
-		return 0
-	}
-	room := 0
-	for _, each := range rooms {
-		room += each
 	}
-	return min(len(unit.tasks), room)
+	return 0
 }
 
-// roomsOfRacks is how many of a unit's tasks each rack that suits it has room for once what
-// is expected to end by some time has ended.
-func (e *Engine) roomsOfRacks(unit *unit, by, now time.Time) []int {
+// roomsOfRacks is how many of a unit's tasks each rack that suits it could hold.
+func (e *Engine) roomsOfRacks(unit *unit, now time.Time) map[string]int {
 	rooms := map[string]int{}
 	for _, known := range e.nodeOrder {
-		if !known.expected(now) || !unit.mayUse(known) || !unit.suitedBy(known.entry.Rack) {
-			continue
+		if known.expected(now) && unit.mayUse(known) && unit.suitedBy(known.entry.Rack) {
+			rooms[known.entry.Rack] += unit.roomOn(known)
 		}
-		rooms[known.entry.Rack] += e.roomBy(unit, known, by, now)
 	}
-	list := make([]int, 0, len(rooms))
-	for _, room := range rooms {
-		list = append(list, room)
-	}
-	return list
+	return rooms
 }
 
 // expected reports whether a node can get new work soon, as far as is known: it stays, and
@@ -100,33 +88,20 @@
 	return u.step.spec.Gang && u.step.spec.OneRack || rack == u.step.spec.DataRack
 }
 
-// roomBy is how many of a unit's tasks a node has room for by some time.
-func (e *Engine) roomBy(unit *unit, known *node, by, now time.Time) int {
+// roomOn is how many of a unit's tasks a node could hold beside what lasts there.
+func (u *unit) roomOn(known *node) int {
 	free := known.entry.Capacity
 	for _, run := range known.runs {
-		if !e.endsBy(run, by, now) {
+		if run.task.step.spec.Lasting && run.stopSentAt.IsZero() {
 			free = free.Sub(run.need())
 		}
 	}
-	need := unit.step.need()
-	room := quotient(free.Accelerators, need.Accelerators, len(unit.tasks))
+	need := u.step.need()
+	room := quotient(free.Accelerators, need.Accelerators, len(u.tasks))
 	room = quotient(free.MilliCores, need.MilliCores, room)
 	room = quotient(free.MemoryMB, need.MemoryMB, room)
-	if unit.step.spec.PerWorker > 0 {
-		room = min(room, unit.step.spec.PerWorker)
+	if u.step.spec.PerWorker > 0 {
+		room = min(room, u.step.spec.PerWorker)
 	}
 	return room
 }
-
-// endsBy reports whether a run is expected to be over by some time.
-func (e *Engine) endsBy(run *run, by, now time.Time) bool {
-	switch {
-	case !run.stopSentAt.IsZero():
-		return true
-	case run.task.step.spec.Lasting:
-		return false
-	case run.startedAt.IsZero():
-		return !now.Add(e.runtime(run.task.step.job, run.task.key.Step)).After(by)
-	}
-	return !now.Add(e.remaining(run, now)).After(by)
-}
--- a/placing/place.go
+++ b/placing/place.go
@@ -150,6 +150,7 @@
 		}
 		number++
 	}
+	unit.step.roomSince = time.Time{}
 	for _, seat := range seats {
 		given := number
 		if given == 0 {
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -92,7 +92,7 @@
 		fields = coming.racks
 	}
 	best := e.cheapest(unit, coming, fields, now)
-	if best == nil && len(fields) > 1 && e.coming(unit, now) == 0 {
+	if best == nil && len(fields) > 1 && e.worthWaiting(unit, now) == 0 {
 		best = e.cheapest(unit, coming, [][]*node{coming.nodes}, now)
 	}
 	if best == nil {
