A worker that a task failed on is avoided only while another could hold the task

What callers see: a task that failed once on the only worker with its label never starts again, and neither does a gang that needs all workers of a label, with those workers idle.

Cause: the worker of the last failed run was ruled out for the next like one of another kind, without a look at whether any other could take the task, and without an end under one holder (which worker it was is not on record).

Evidence: TestTaskStartsAgainOnTheOnlyWorkerWithItsLabel and TestGangStartsAgainOnAllWorkersWithItsLabel fail on the code before (0 of 1 and 0 of 6 run after 40 s, nothing in use). The bound on preferences in idle pools covers the first; the second it does not where tasks may have one seat a worker, and neither in a pool in use.

Change: it is avoided while other workers that are expected to be there could hold the task, or all of the gang, beside what lasts on them. TestTaskThatFailedStartsOnAnotherWorkerIfThereIsOne, the control beside them, holds the other side. All tests of placing pass.

--- a/placing/fit.go
+++ b/placing/fit.go
@@ -33,7 +33,7 @@
 
 // serves reports whether a node may run the unit's tasks.
 func (n *node) serves(unit *unit) bool {
-	avoided := !unit.anywhere && unit.tasks[0].avoid != "" && unit.tasks[0].avoid == n.entry.ID
+	avoided := !unit.anywhere && unit.avoid != "" && unit.avoid == n.entry.ID
 	return !avoided && unit.mayUse(n) && unit.advised(n)
 }
 
@@ -116,7 +116,7 @@
 // pass for as many tasks or fewer of the same kind is not tried again, unless workers are
 // ruled out for the one step alone.
 func (v *view) fit(unit *unit, strict bool) []seat {
-	plain := unit.tasks[0].avoid == "" && unit.step.spec.PerWorker == 0 && !unit.isolated && !unit.job.queue.Advised
+	plain := unit.avoid == "" && unit.step.spec.PerWorker == 0 && !unit.isolated && !unit.job.queue.Advised
 	key := v.kind(unit, strict)
 	tasks := 1
 	if unit.step.spec.Gang {
@@ -280,7 +280,7 @@
 		if node.health.wary || unit.now.Before(node.unsteady) {
 			weight += probationWeight
 		}
-		if unit.anywhere && (!node.open(unit.now) || node.entry.ID == unit.tasks[0].avoid) {
+		if unit.anywhere && (!node.open(unit.now) || node.entry.ID == unit.avoid) {
 			weight += lastWeight
 		}
 		options = append(options, option{node: node, count: count, weight: weight + spare})
--- a/placing/patience.go
+++ b/placing/patience.go
@@ -76,6 +76,24 @@
 	return rooms
 }
 
+// heldWithout reports whether workers other than one could hold a unit, of tasks that start
+// alone one.
+func (e *Engine) heldWithout(unit *unit, avoided string) bool {
+	wanted := 1
+	if unit.step.spec.Gang {
+		wanted = len(unit.tasks)
+	}
+	for _, known := range e.nodeOrder {
+		if known.entry.ID != avoided && known.expected(unit.now) && unit.mayUse(known) {
+			wanted -= unit.roomOn(known)
+		}
+		if wanted <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // expected reports whether a node can get new work soon, as far as is known: it stays, and
 // answers, has not been heard of in this term, or fell silent only just now.
 func (n *node) expected(now time.Time) bool {
--- a/placing/preference.go
+++ b/placing/preference.go
@@ -31,7 +31,7 @@
 			preferRested:    now.Before(node.health.until),
 			preferApart:     node.isolating > 0,
 			preferEmpty:     u.isolated && len(node.runs) > 0,
-			preferOther:     u.tasks[0].avoid == node.entry.ID,
+			preferOther:     u.avoid == node.entry.ID,
 		} {
 			found[preference] = found[preference] || goes
 		}
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -55,6 +55,7 @@
 	guaranteed bool            // has to begin within the reclaim time
 	isolated   bool            // suspected of ending workers; gets a worker of its own
 	emptyOnly  bool            // isolated, and still waits for an empty and steady worker
+	avoid      string          // worker that it gets only where no other can be used
 	anywhere   bool            // free of preferences, see held.go
 	overdrawn  map[string]bool // workspaces whose urgent work may be stopped for it
 }
@@ -168,6 +169,9 @@
 }
 
 func (e *Engine) appendUnit(units []*unit, made unit) []*unit {
+	if avoided := made.tasks[0].avoid; avoided != "" && e.heldWithout(&made, avoided) {
+		made.avoid = avoided
+	}
 	e.slab = append(e.slab, made)
 	return append(units, &e.slab[len(e.slab)-1])
 }
