Room is not set aside again for stops that are late

What callers see: small work waits for ten seconds and more beside idle workers that are set aside for an urgent gang whose room does not come, and the gang waits with it.

Cause: a claim ends after the longest time that a stop takes and some slack, so that room is then made elsewhere. But the search counted the room of all runs whose stop had been sent, however long ago, found the same seats and set them aside again, eight times in a row in the test.

Evidence: TestSmallTaskStartsWhileRoomIsSetAsideForAStopThatIsNotCarriedOut fails on the code before: the small task starts after 11.05 s, with 14 of 24 workers idle and a stop that takes 10 s. Stops that long are beyond what the platform states, yet workers that carry orders out late are among its faults. TestSmallTaskStartsWhileRoomIsSetAsideForUrgentGangs passes before and after.

Change: the room of a run counts as coming for as long as its claim may stand, from the first time that its stop was sent. After that other room is looked for. All tests of placing pass.

--- a/placing/job.go
+++ b/placing/job.go
@@ -89,7 +89,8 @@
 	resumed     bool      // from a saved state, or under a former holder of the term
 	basePercent int       // of a resumed run, as first reported
 	baseAt      time.Time // when it was
-	stopSentAt  time.Time
+	stoppedAt   time.Time // when its stop was first sent
+	stopSentAt  time.Time // when its stop was last sent
 	stopDoneAt  time.Time // when the worker took the stop
 	why         string    // of the stop
 	seen        bool      // a report of the worker has shown it
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -53,7 +53,7 @@
 	coming := open.copy()
 	for _, node := range coming.nodes {
 		for _, run := range node.runs {
-			if !run.stopSentAt.IsZero() {
+			if e.endsSoon(run, now) {
 				coming.give(node, run.need())
 			}
 		}
@@ -79,6 +79,11 @@
 	e.claim(unit, seats, open, now)
 }
 
+// endsSoon reports whether a run was stopped and is not late to end.
+func (e *Engine) endsSoon(run *run, now time.Time) bool {
+	return !run.stoppedAt.IsZero() && now.Sub(run.stoppedAt) < e.limits.StopWithin+claimSlack
+}
+
 func (e *Engine) claim(unit *unit, seats []seat, open *view, now time.Time) {
 	unit.setAside(&claim{step: unit.step, seats: seats, until: now.Add(e.limits.StopWithin + claimSlack)}, open)
 }
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -152,6 +152,9 @@
 }
 
 func (e *Engine) sendStop(run *run, now time.Time) {
+	if run.stoppedAt.IsZero() {
+		run.stoppedAt = now
+	}
 	run.stopSentAt = now
 	e.plan.Stops = append(e.plan.Stops, Stop{Task: run.task.key, Run: run.number, Worker: run.node.entry.ID})
 }
