Questions for advice go in turn to the first step and to the one that waits longest for one

What callers see: work of a queue with a policy is never started though idle workers may run it, as no question is asked for it. One question is under way at a time, and it was always for the first step without seats: one whose tickets run out before it has enough of them, or whose questions go unanswered, took them all.

Change: units that want advice are gathered in a pass; every other question is for the one that was not asked for the longest. So half of the questions go by rank, as all did, and each step gets its question within twice as many as there are steps.

--- a/placing/advice.go
+++ b/placing/advice.go
@@ -54,20 +54,42 @@
 	return known != nil && u.now.Before(known.tickets[node.entry.ID].until)
 }
 
-// ask asks for the first unit that has no seats and workers to ask about.
-func (e *Engine) ask(unit *unit, open *view, now time.Time) {
-	if !unit.job.queue.Advised || e.asking != nil || now.Before(e.askAfter) {
+// wantsAdvice notes a unit that has no seats, or not for all of its tasks.
+func (e *Engine) wantsAdvice(unit *unit) {
+	if unit.job.queue.Advised {
+		e.unadvised = append(e.unadvised, unit)
+	}
+}
+
+// ask asks for one of the units that want advice: in turn for the first that there are
+// workers to ask about, and for the one of them that was not asked for the longest. So a
+// step that finds no seats whatever the answer does not take all questions.
+func (e *Engine) ask(open *view, now time.Time) {
+	units := e.unadvised
+	e.unadvised = nil
+	if len(units) == 0 || e.asking != nil || now.Before(e.askAfter) {
 		return
 	}
-	workers := unit.toAsk(open, now)
-	if len(workers) == 0 {
+	if e.askLongest {
+		sort.SliceStable(units, func(a, b int) bool { return units[a].unaskedSince().Before(units[b].unaskedSince()) })
+	}
+	for _, unit := range units {
+		workers := unit.toAsk(open, now)
+		if len(workers) == 0 {
+			continue
+		}
+		e.askLongest = !e.askLongest
+		e.asking = unit.step
+		unit.step.askedAt = now
+		key := unit.tasks[0].key
+		e.plan.Ask = &Ask{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Workers: workers}
 		return
 	}
-	e.asking = unit.step
-	key := unit.tasks[0].key
-	e.plan.Ask = &Ask{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Workers: workers}
 }
 
+// unaskedSince is when the last question for a unit was sent, or else its turn came.
+func (u *unit) unaskedSince() time.Time { return latest(u.step.readyAt, u.step.askedAt) }
+
 // toAsk lists the nodes that would suit a unit and of which no ticket is known,
 // emptiest first, as they are the likeliest to seat it.
 func (u *unit) toAsk(open *view, now time.Time) []AskedWorker {
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -47,6 +47,8 @@
 	summedAt    time.Time // see summarize
 	heldAt      time.Time // see relieve
 	asking      *step     // for which a question is under way
+	askLongest  bool      // the next question is for the step that was not asked for the longest
+	unadvised   []*unit   // of the present pass, see wantsAdvice
 	askAfter    time.Time
 	formerLapse time.Time       // when all leases that former holders granted have lapsed
 	complete    bool            // see Complete
--- a/placing/job.go
+++ b/placing/job.go
@@ -43,6 +43,7 @@
 	toldHeld  time.Time // when it was last told what holds it back
 	roomSince time.Time // since when it has waited beside plenty of room; zero: it does not
 	advice    *advice   // nil until something is known
+	askedAt   time.Time // when the last question for it was sent
 	rates     []rate    // of its runs so far
 	suspects  bool      // a run of a task was once lost with its worker
 }
--- a/placing/place.go
+++ b/placing/place.go
@@ -44,6 +44,7 @@
 		}
 		e.placeUnit(unit, open, now)
 	}
+	e.ask(open, now)
 	e.relieve(units, open, now)
 }
 
@@ -90,7 +91,7 @@
 	if len(seats) > 0 {
 		e.seat(unit, seats, open, now)
 		if len(seats) < len(unit.tasks) {
-			e.ask(unit, open, now)
+			e.wantsAdvice(unit)
 		}
 		return
 	}
@@ -98,7 +99,7 @@
 		unit.setAside(held, open)
 		return
 	}
-	e.ask(unit, open, now)
+	e.wantsAdvice(unit)
 	if unit.tier == tierUrgent && !unit.isolated {
 		e.makeRoom(unit, open, now)
 	}
