Held steps begin in idle pools only while nothing of their job is at work

The bound let each waiting task of a step into room that is kept clear, though others of its job ran. Users expect that a job does not stand still beside idle room, and each task that lasts.

Change: a task counts as held back while no run of its job is at work, a lasting one always.

--- a/placing/held.go
+++ b/placing/held.go
@@ -120,9 +120,11 @@
 	}
 }
 
-// watch notes since when the tasks of a unit have waited in an idle pool with plenty of room.
+// watch notes since when the tasks of a unit have waited in an idle pool with plenty of room
+// while nothing of their job was at work; lasting tasks are expected to run each.
 func (h *holdUps) watch(unit *unit) {
-	plenty := h.idle(unit) && h.plenty(unit)
+	waits := unit.step.spec.Lasting || !unit.job.atWork()
+	plenty := waits && h.idle(unit) && h.plenty(unit)
 	for _, task := range unit.tasks {
 		if !plenty {
 			task.roomSince = time.Time{}
@@ -132,6 +134,20 @@
 	}
 }
 
+// atWork reports whether a task of the job runs, as far as is known.
+func (j *job) atWork() bool {
+	for _, occurrence := range j.runs {
+		for _, step := range occurrence.steps {
+			for _, task := range step.tasks {
+				if task.run != nil && task.run.phase == phaseRunning && task.run.node.answering {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // due is what of a unit preferences may hold back no more.
 func (h *holdUps) due(unit *unit) *unit {
 	due := *unit
