--- a/placing/world_wide_test.go
+++ b/placing/world_wide_test.go
@@ -58,9 +58,7 @@
 	priority := w.random.IntN(3)
 	var steps []jobs.Step
 	for index := range 1 + w.random.IntN(3) {
-		// Not for urgent steps until TestUrgentStepAtItsWorkerLimitDoesNotHoldUpDecisions passes.
-		limited := priority > 0
-		step, plan := w.drawStep(workers, limited)
+		step, plan := w.drawStep(workers)
 		if index > 0 {
 			step.After = []int{index - 1}
 		}
@@ -75,8 +73,8 @@
 	w.handIn(submission)
 }
 
-// drawStep draws a step. limited allows a limit for each worker.
-func (w *world) drawStep(workers int, limited bool) (jobs.Step, plan) {
+// drawStep draws a step.
+func (w *world) drawStep(workers int) (jobs.Step, plan) {
 	likely := func(percent int) bool { return w.random.IntN(100) < percent }
 	accelerators := []int64{0, 1, 2, 4, 4, 8}[w.random.IntN(6)]
 	step := testStep(1+w.random.IntN(8), accelerators)
@@ -101,7 +99,7 @@
 		step.Lasting, drawn.lasts, drawn.work = true, true, time.Hour
 		drawn.flaky /= 4
 		step.Tasks = min(3, step.Tasks)
-	case limited && likely(10):
+	case likely(10):
 		step.PerWorker = 1 + w.random.IntN(2)
 	}
 	if step.Gang {
