Tests that a gang begins beside idle workers though no rack suits it

Callers of the users' deployment, 48 workers in racks of six, had gangs accepted that asked for one rack and were wider than any, and saw nothing of them run for seconds to minutes while most workers were idle.

With real processes, twelve workers in racks of three: a gang of eight tasks, of which a rack holds six, and a gang of six while every rack has a machine in long use. Each has to begin before any task ends that had begun before the gang was accepted (10.5 s), and to end as done. The gangs' estimate is 120 s. There is capacity for them twice over and a third of the room at most is in use. Nothing else is timed.

--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -24,6 +24,8 @@
 	gangWait = 3 * time.Second
 	// leaseMost is the longest lease that a worker grants.
 	leaseMost = 6 * time.Second
+	// machineGPU is how many accelerators a machine has.
+	machineGPU = 8
 	// clockSlow is the share of the time that the clock of every other machine loses.
 	clockSlow = 0.02
 )
@@ -34,6 +36,7 @@
 	fleet  *fleet
 	name   string
 	zone   string // availability zone
+	rack   string
 	server *httptest.Server
 	way    *standin.Proxy // by which instances reach it; nil for straight
 	slow   float64        // share of the time that its clock loses
@@ -44,7 +47,7 @@
 }
 
 func newMachine(f *fleet, name string) *machine {
-	m := &machine{fleet: f, name: name, zone: zoneOf(name), slow: float64(len(f.machines)%2) * clockSlow}
+	m := &machine{fleet: f, name: name, zone: zoneOf(name), rack: f.rackOf(len(f.machines), zoneOf(name)), slow: float64(len(f.machines)%2) * clockSlow}
 	m.server = httptest.NewUnstartedServer(m)
 	m.server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
 		m.lock.Lock()
@@ -117,8 +120,17 @@
 		born = fmt.Sprintf(`"born":%d,`, life.BornMS)
 	}
 	m.fleet.store.Put("keyed.servers", life.ID, fmt.Appendf(nil,
-		`{%s"service":"pool","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":64000,"mem_mb":131072,"gpu":8},"labels":["a","r1-1"]}`,
-		born, m.address(), m.zone))
+		`{%s"service":"pool","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":64000,"mem_mb":131072,"gpu":%d},"labels":["a",%q]}`,
+		born, m.address(), m.zone, machineGPU, m.rack))
+}
+
+// rackOf is the rack of a machine; those of a zone, every other one by their index, fill its
+// racks one after the other.
+func (f *fleet) rackOf(index int, zone string) string {
+	if f.rackSize == 0 {
+		return "r1-1"
+	}
+	return fmt.Sprintf("r%s-%d", strings.TrimPrefix(zone, "z"), index/2/f.rackSize)
 }
 
 // address is where instances reach the machine.
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -29,6 +29,7 @@
 	address   string           // of the store
 	sameIDs   bool             // workers start again under their IDs
 	taskTime  time.Duration    // of a task on a worker
+	rackSize  int              // machines in a rack; 0 for all in one
 	proxied   bool             // a proxy is on every way: to workers, to the store, to instances
 	ledger    *standin.TaskLedger
 	gangs     *standin.Gangs
