Storm: gangs wider than every rack, and no wait beside idle workers

Callers saw accepted jobs of which nothing ran for 3 s and more though there was capacity for them twice over and under half of the room was in use.

The storm's workers are in racks of two now, and callers hand in small gangs, one job of twelve, that ask for one rack and are wider than any, with an estimate far too long (60 s for 1.2 s); one more is handed in after the storm. Starts of a job that was refused are counted for all tasks that a job may have. What the storm held before, it holds as before.

--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -133,6 +133,13 @@
 	return fmt.Sprintf("r%s-%d", strings.TrimPrefix(zone, "z"), index/2/f.rackSize)
 }
 
+// at returns the present life; nil while the machine is away.
+func (m *machine) at() *standin.TaskWorker {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.life
+}
+
 // address is where instances reach the machine.
 func (m *machine) address() string {
 	if m.way != nil {
--- a/e2e/storm_test.go
+++ b/e2e/storm_test.go
@@ -16,8 +16,9 @@
 )
 
 // A long run by hand is `go test ./e2e -run Storm -storm.for 2m -storm.seed N
-// -storm.recovery 12s`, which holds new work to the users' bound after the last fault. CI
-// asserts no times: there only the patience of all waits bounds it.
+// -storm.recovery 12s -storm.idle 3s`, which holds new work to the users' bound after the last
+// fault, and what was accepted to theirs for waits beside idle workers. CI asserts no times:
+// there only the patience of all waits bounds both.
 var (
 	stormFor       = flag.Duration("storm.for", 8*time.Second, "how long faults go on")
 	stormSeed      = flag.Uint64("storm.seed", 1, "seed of the faults")
@@ -25,6 +26,7 @@
 	stormWorkers   = flag.Int("storm.workers", 10, "workers")
 	stormFormer    = flag.String("storm.former", "", "program of an earlier version, which every other instance runs; workers do not start again then")
 	stormRecovery  = flag.Duration("storm.recovery", 0, "within which new work is done after the last fault; 0 asserts nothing")
+	stormIdle      = flag.Duration("storm.idle", 0, "how long a job may wait beside idle workers once it is calm; 0 asserts nothing")
 	stormLogs      = flag.String("storm.logs", "", "folder to copy the instances' logs to")
 )
 
@@ -36,6 +38,8 @@
 	// stormTask is how long a task takes: more than all tries of a start, so that one which
 	// runs though no answer came meets what is started in its place.
 	stormTask = 1200 * time.Millisecond
+	// stormRack is how many workers a rack has, fewer than wideRackJob takes.
+	stormRack = 2
 	// stormAtOnce is how many faults overlap at most.
 	stormAtOnce = 3
 	faultLeast  = 100 * time.Millisecond
@@ -66,6 +70,7 @@
 // handed is one job.
 type handed struct {
 	id        string
+	body      string
 	fate      fate
 	cancelled bool
 	state     string // in which it has to end, unless it was cancelled
@@ -93,10 +98,11 @@
 // workers there; the configuration changes: several at a time, while callers hand in, repeat, cancel and ask. At no time does
 // a task run at two places, or again after its end was taken note of, nor is one started in a
 // zone that was evacuated five seconds before; what is refused never
-// starts; what is accepted ends; memory and files stay within the machine's.
+// starts; what is accepted ends, and does not wait beside idle workers once it is calm, such as
+// gangs wider than every rack that ask for one; memory and files stay within the machine's.
 func TestPlatformStorm(t *testing.T) {
 	ledger := standin.NewTaskLedger()
-	made := newFleetOf(&fleet{t: t, store: standin.NewKeyedStore(), taskTime: stormTask, sameIDs: true, proxied: true, ledger: ledger, former: *stormFormer}, *stormInstances, *stormWorkers)
+	made := newFleetOf(&fleet{t: t, store: standin.NewKeyedStore(), taskTime: stormTask, rackSize: stormRack, sameIDs: true, proxied: true, ledger: ledger, former: *stormFormer}, *stormInstances, *stormWorkers)
 	s := &storm{fleet: made, random: rand.New(rand.NewPCG(*stormSeed, 5)), version: 1, over: make(chan struct{}), busy: map[string]bool{}}
 	t.Cleanup(s.keepLogs)
 	for number := range stormCallers {
@@ -104,9 +110,11 @@
 	}
 	s.blow()
 	s.calm()
+	s.watchIdle()
 	close(s.over)
 	s.wait.Wait()
 	s.checkRecovery()
+	s.handInWide()
 	s.checkEnds()
 	s.checkLimits()
 	s.checkAcks()
--- a/e2e/stormcalls_test.go
+++ b/e2e/stormcalls_test.go
@@ -30,14 +30,16 @@
 		case <-time.After(time.Duration(random.IntN(int(callPause.Milliseconds()))) * time.Millisecond):
 		}
 		job := &handed{id: fmt.Sprintf("%016x", 0xa0000+s.next.Add(1)), state: "done"}
-		body := gangJob
+		job.body = gangJob
 		switch random.IntN(12) {
 		case 0:
-			body, job.state = failedJob, "failed"
+			job.body, job.state = failedJob, "failed"
 		case 1, 2, 3:
-			body = longJob
+			job.body = longJob
+		case 4:
+			job.body = wideRackJob
 		}
-		job.fate = s.handIn(job.id, body, random)
+		job.fate = s.handIn(job.id, job.body, random)
 		if job.fate == fateAccepted && random.IntN(8) == 0 {
 			job.cancelled = true
 			s.call(s.any(random), http.MethodDelete, job.id, "key-a", "")
@@ -120,7 +122,7 @@
 func (s *storm) startsOfJob(id string) int {
 	total := 0
 	for step := range 2 {
-		for index := range 3 {
+		for index := range 5 {
 			total += s.starts(fmt.Sprintf("%s.0.%d.%d", id, step, index))
 		}
 	}
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -125,6 +127,13 @@
 	return len(w.running)
 }
 
+// Tasks are the names of the tasks at work.
+func (w *TaskWorker) Tasks() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.running))
+}
+
 // taskOrder is the body of every order.
 type taskOrder struct {
 	Task      string `json:"task"`
