Tests that work begins beside tasks that lost their workers

With real processes, six workers: six long tasks of one accelerator, one a worker, lose their workers twice after 3.7 s of work. Another job of one accelerator, handed in once they are at work again, has to begin before any of them ends (7 s). Six of 48 accelerators are in use.

It fails on the present code:

--- a/e2e/idle_test.go
+++ b/e2e/idle_test.go
@@ -17,6 +17,8 @@
 	idleTask    = 1500 * time.Millisecond
 	idleRack    = 3 // machines in a rack
 	idleWorkers = 12
+	// lostAfter is how long a long task works before its worker is lost: over half of 7 s.
+	lostAfter = 3700 * time.Millisecond
 	// rackGang is a gang of so many tasks that asks for one rack; a machine holds two of them.
 	rackGang = `{"spec":"gang%d","steps":[{"count":%[1]d,"cpu":1000,"mem_mb":10,"gpu":4,"gang":true,"same_rack":true,"est_runtime_ms":120000}]}`
 	// wholeMachine is a long task that takes all of a machine in a rack.
@@ -44,15 +46,15 @@
 	return count
 }
 
-// checkBegunBefore holds that a gang begins before any of the other tasks has ended, which had
+// checkBegunBefore holds that a job begins before any of the other tasks has ended, which had
 // begun before it was accepted, and that it ends well.
 func (f *fleet) checkBegunBefore(id string, others ...string) {
 	f.t.Helper()
 	ended := func(task string) bool { return f.done(task) > 0 }
-	f.until("the gang's begin or another task's end", func() bool { return f.starts(id+".0.0.0") > 0 || slices.ContainsFunc(others, ended) })
+	f.until("the begin or another task's end", func() bool { return f.starts(id+".0.0.0") > 0 || slices.ContainsFunc(others, ended) })
 	if slices.ContainsFunc(others, ended) {
 		f.printLogs()
-		f.t.Fatalf("gang %s waits beside idle workers until a task ends that had begun before it was accepted", id)
+		f.t.Fatalf("job %s waits beside idle workers until a task ends that had begun before it was accepted", id)
 	}
 	f.until("done", func() bool { return f.state(f.instances[1], id) == "done" })
 }
@@ -86,3 +88,31 @@
 	f.accept(id, fmt.Sprintf(rackGang, 2*idleRack))
 	f.checkBegunBefore(id, slices.Collect(maps.Values(taken))...)
 }
+
+// Guards against work that waits beside idle workers while tasks that have lost theirs twice
+// have one each to themselves.
+func TestPlatformStartsWorkBesideTasksThatLostTheirWorkers(t *testing.T) {
+	const tasks = 6
+	f := newFleetOf(&fleet{t: t, store: standin.NewKeyedStore(), taskTime: time.Second, sameIDs: true}, 3, tasks)
+	const id, other = "00000000000001c1", "00000000000001c2"
+	f.accept(other, fmt.Sprintf(`{"spec":"long","steps":[{"count":%d,"cpu":1000,"mem_mb":10,"gpu":1,"anti_affinity":1,"est_runtime_ms":7000}]}`, tasks))
+	var long []string
+	for index := range tasks {
+		long = append(long, fmt.Sprintf("%s.0.0.%d", other, index))
+	}
+	begun := func(times int) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(long, func(task string) bool { return f.starts(task) < times })
+		}
+	}
+	for lives := range 2 {
+		f.until("all long tasks at work", begun(lives+1))
+		time.Sleep(lostAfter)
+		for _, machine := range f.machines {
+			machine.end()
+		}
+	}
+	f.until("all long tasks at work again", begun(3))
+	f.accept(id, smallJob)
+	f.checkBegunBefore(id, long...)
+}
