--- a/e2e/storm_test.go
+++ b/e2e/storm_test.go
@@ -125,19 +125,23 @@
 
 // keepLogs copies the instances' logs to a folder, if one is named, once the test is over.
 func (s *storm) keepLogs() {
+	for _, instance := range s.instances {
+		s.keepLog(instance)
+	}
+}
+
+func (s *storm) keepLog(of *frontInstance) {
 	if *stormLogs == "" {
 		return
 	}
-	for _, instance := range s.instances {
-		content, err := os.ReadFile(instance.log.Name())
-		if err != nil {
-			s.t.Error(err)
-			continue
-		}
-		copied := filepath.Join(*stormLogs, fmt.Sprintf("%s-%d", instance.name, instance.command.Process.Pid))
-		if err := os.WriteFile(copied, content, 0o600); err != nil {
-			s.t.Error(err)
-		}
+	content, err := os.ReadFile(of.log.Name())
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	copied := filepath.Join(*stormLogs, fmt.Sprintf("%s-%d", of.name, of.command.Process.Pid))
+	if err := os.WriteFile(copied, content, 0o600); err != nil {
+		s.t.Error(err)
 	}
 }
 
@@ -202,6 +206,7 @@
 	_ = old.command.Process.Signal(signal) // it is this fault's alone, so it is there
 	// How a killed process ended is known.
 	_ = old.command.Wait()
+	s.keepLog(old)
 	s.guard.Lock()
 	defer s.guard.Unlock()
 	s.startInstance(name)
