Tests of the bound by pool, and of gangs that fit once and not twice

Two faults planted by hand went unnoticed: the use of all pools taken for that of the step's, and room for once taken for plenty. That tasks begin though siblings are at work is still not noticed by a test.

--- a/placing/held_note_test.go
+++ b/placing/held_note_test.go
@@ -76,3 +76,44 @@
 	c.submit(held)
 	is.True(c.beginsWithin(held.ID, overdueAfter))
 }
+
+func TestBoundOnPreferencesGoesByThePoolOfTheStep(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(3)
+	entries := []WorkerEntry{}
+	for index, known := range c.engine.nodeOrder {
+		entry := known.entry
+		if index >= 4 {
+			entry.Pool = "busy"
+		}
+		entries = append(entries, entry)
+	}
+	c.engine.List(entries, c.now)
+	full := testJob(hexID(2), 1, testStep(8, 8))
+	full.Steps[0].Need.MilliCores = 64000
+	full.Queue.Pool = "busy"
+	c.submit(full)
+	c.step()
+	for _, known := range c.engine.nodeOrder[:4] {
+		known.health.pause(c.now, time.Minute)
+	}
+	held := testJob(hexID(1), 1, testStep(1, 1))
+	c.submit(held)
+	is.True(c.beginsWithin(held.ID, overdueAfter))
+}
+
+func TestGangThatFitsOnceStillWaitsForItsRackInAnIdlePool(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(2)
+	for rack := range 2 {
+		small := testStep(1, 8)
+		small.RequiredLabel = "r1-" + string(rune('0'+rack))
+		c.submit(testJob(hexID(rack+1), 1, small))
+	}
+	c.step()
+	gang := gangStep(4, 8) // a whole rack, of six workers that are free
+	gang.EstimateMS = 60_000
+	held := testJob(hexID(9), 1, gang)
+	c.submit(held)
+	is.True(!c.beginsWithin(held.ID, 2*overdueAfter))
+}
