--- a/placing/held.go
+++ b/placing/held.go
@@ -42,7 +42,7 @@
 	kept   [classes]map[*node]bool // kept clear of classes of work
 	used   map[string]float64      // share of pools in use
 	rooms  map[kind]int            // for how many tasks of a kind there is room
-	told   int
+	told   int                     // steps that were told of
 }
 
 // relieve seats units that preferences have held back for long enough, and says of others
@@ -102,21 +102,21 @@
 	if len(due.tasks) == 0 && !h.tells(unit) {
 		return
 	}
-	held := unit.takeBack(h.room)
+	claimed := unit.takeBack(h.room)
+	tried := due
 	if len(due.tasks) == 0 {
-		due = unit
+		tried = unit
 	}
-	seats := h.room.fit(due, false)
-	begins := len(seats) > 0 && due != unit
-	if len(seats) > 0 && (begins || h.tells(unit)) {
+	seats := h.room.fit(tried, false)
+	if len(seats) > 0 && (tried == due || h.tells(unit)) {
 		h.tell(unit, seats)
 	}
-	if begins {
+	if len(seats) > 0 && tried == due {
 		h.engine.seat(due, seats, h.room, h.now)
 		delete(h.used, unit.job.queue.Pool)
 		clear(h.rooms)
-	} else if held != nil {
-		unit.setAside(held, h.room)
+	} else if claimed != nil {
+		unit.setAside(claimed, h.room)
 	}
 }
 
--- a/placing/patience.go
+++ b/placing/patience.go
@@ -29,19 +29,12 @@
 		return open.fit(unit, false)
 	}
 	near := open.fit(unit, true)
-	if held == len(unit.tasks) || len(near) >= held {
-		return e.besides(unit, near, len(unit.tasks)-max(held, len(near)), open)
-	}
-	return e.besides(unit, near, len(unit.tasks)-held, open)
-}
-
-// besides adds seats elsewhere for some more of a unit's tasks.
-func (e *Engine) besides(unit *unit, near []seat, more int, open *view) []seat {
-	if more == 0 {
+	elsewhere := len(unit.tasks) - max(held, len(near))
+	if elsewhere == 0 {
 		return near
 	}
-	all := open.fit(unit, false)
-	return all[:min(len(all), len(near)+more)]
+	all := open.fit(unit, false) // those near come first
+	return all[:min(len(all), len(near)+elsewhere)]
 }
 
 // wantsRack reports whether the unit is slower outside of one rack.
