A waiting gang is ended at a change of holder if one of its workers is away (fails)

TestGangThatWaitsIsNotEndedForAWorkerThatIsAwayForAMoment fails: a gang that was accepted waits; another instance begins to place while one worker of the only rack that holds it is not listed, and ends it as an impossible shape. The former holder would have let it wait, for ever if the worker does not come back: what can never be held is judged once, by what a holder has listed as it begins.

--- a/scheduler/caution_test.go
+++ b/scheduler/caution_test.go
@@ -184,3 +184,18 @@
 	}
 	t.Fatal("it waits anew after each refusal")
 }
+
+// A gang that waited was ended as one that no rack holds, as one of its rack's workers was
+// away when another instance began to place.
+func TestGangThatWaitsIsNotEndedForAWorkerThatIsAwayForAMoment(t *testing.T) {
+	is := is.New(t)
+	gang := jobOf("gang", "b", 4, 8)
+	gang.Shape.Adjacent = true
+	all := workersOf(4, 4)
+	i := &idler{is: is, s: scheduler.New(scheduler.Config{Workers: all[:3], Epoch: 2}), now: scheduler.Minute,
+		runs: map[string]scheduler.Place{}, ends: map[string]scheduler.End{}}
+	i.step(scheduler.Submitted{Job: gang}) // accepted a minute ago, with all four listed
+	is.Equal(i.ends, map[string]scheduler.End{})
+	i.step(scheduler.WorkerUp{Worker: all[3]})
+	is.True(i.starts("gang", 3*scheduler.Second))
+}
