Workers are kept for a gang hours after it was to start (fails)

TestRoomIsNotKeptForAGangLongAfterItWasToStart fails: a run in the gang's way outlasts its estimate (10 minutes), the expected start is put off by half of what has passed at each review, and a job that takes longer than that waits beside three idle workers of four.

--- /dev/null
+++ b/scheduler/kept_test.go
@@ -0,0 +1,29 @@
+package scheduler_test
+
+import (
+	"testing"
+
+	"github.com/teaselcleat/teaselcleat/scheduler"
+)
+
+// Workers kept for a gang stood idle for hours beside jobs that could use them, as the run
+// in the gang's way outlasted its estimate and the gang's start was put off again and again.
+func TestRoomIsNotKeptForAGangLongAfterItWasToStart(t *testing.T) {
+	for _, declared := range []scheduler.Time{5 * scheduler.Minute, 2 * 60 * scheduler.Minute, 8 * 60 * scheduler.Minute} {
+		i := newIdler(t, 4, 4)
+		inTheWay := jobOf("in the way", "a", 1, 8)
+		inTheWay.Declared = 10 * scheduler.Minute
+		inTheWay.Idempotent = false
+		gang := jobOf("gang", "b", 4, 8)
+		gang.Shape.Adjacent = true
+		small := jobOf("small", "c", 1, 8)
+		small.Declared = declared
+		for _, job := range []scheduler.JobSpec{inTheWay, gang, small} {
+			job.Class = job.ID
+			job.Deadline = 48 * 60 * scheduler.Minute
+			i.submit(job)
+			i.now += scheduler.Second
+		}
+		i.is.True(i.starts("small", 30*scheduler.Minute))
+	}
+}
