The term passes to an instance that can write progress if its holder cannot

What callers saw: accepted jobs with nothing running beside idle workers, for as long as one instance held the term. New jobs were accepted all the while.

Cause: a holder whose appends to the part with the progress get no answer renews its term beside the group on its way, without a bound: another could write no better, it was held. Nobody looked whether that is so, and no line named it.

Ruled out: asking another instance by a call alone (the relay may be cut as well, and the one asked would have to be found first); a read of the part as the check (reads may be answered while appends are not, as in that test); opening the term to all (whoever claims it ends the holder before it knows that it can write, and in an outage for all the term would go round and no end would be written).

Change: after 3 s without an answer the holder logs progress_stalled with part and error, sets the gauge term.stalled, and says so in the term that it goes on renewing. The instances that would place next append a record without a meaning to that part, wait 3 s, and claim the term if the append was answered and the holder still says so. An instance that could not write claims no such term for 30 s. States are appended under a channel in place of a mutex: whoever waits for a slow append there ends with its context now.

Why it holds: the term passes on only to who has just written where the holder could not. Where the part is away for all, the append is not answered; where it comes back, the holder's next try (2 s at most) succeeds within the 3 s. What is asked for stands in the log, so it needs no call and outlives no holder. Each instance hands a term over for this reason once in 30 s at most.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -39,6 +39,8 @@
 // placingDuty claims the term when it is vacant and leads while it is held.
 func (i *Instance) placingDuty(ctx context.Context) {
 	vote := newElection(i.settings.Name, i.holder, claimRank(i.nameHash, i.settings.CPUShare))
+	relief := &relief{instance: i}
+	defer relief.running.Wait()
 	for ctx.Err() == nil && i.settings.NotServed == "" {
 		select {
 		case <-i.fold.signal:
@@ -61,6 +63,7 @@
 			i.claimed = jobs.Term{}
 			continue
 		}
+		relief.consider(ctx, vote.term)
 		vote.urge(i.asked.Load())
 		if vote.claim(i.work.heardAt(), now) {
 			i.claimTerm(ctx, vote.term)
--- a/batch/fenced.go
+++ b/batch/fenced.go
@@ -29,13 +29,18 @@
 	group    int64 // counts the groups of the term
 	patience patience
 	seen     func(records []jobs.Record) bool // the fold shows that they are in the log
+	tried    func(began time.Time, err error) // called after each try; may be nil
 }
 
 // append appends a group. Errors: ErrFenced, or that of ctx.
 func (p *fencedPart) append(ctx context.Context, records []jobs.Record) error {
 	p.sequence++
+	began := p.clock.Now()
 	for ctx.Err() == nil {
 		err := p.try(ctx, records)
+		if p.tried != nil {
+			p.tried(began, err)
+		}
 		if err == nil || errors.Is(err, ErrFenced) {
 			return err
 		}
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -78,6 +78,7 @@
 	sharing       atomic.Pointer[SharingStatus] // nil unless this instance places
 	readLostAt    atomic.Int64                  // steady nanoseconds of the newest read, of any stream, without an answer
 	asked         atomic.Int64                  // epoch of the holder that asked for its term to be claimed
+	stalledAt     atomic.Int64                  // steady nanoseconds of when this instance, placing, last could not write progress
 	handOver      chan struct{}                 // closed when the term is to be given up
 	claimed       jobs.Term                     // the last claim of this process
 	claimSequence int64
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -89,6 +89,7 @@
 	}
 	i.metrics.leading.Update(1)
 	defer i.metrics.leading.Update(0)
+	defer i.metrics.stalled.Update(0)
 	defer i.sharing.Store(nil)
 	l.load(former)
 	l.start(ctx, l.complete)
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -9,6 +9,7 @@
 type instruments struct {
 	registry      metrics.Registry
 	leading       metrics.Gauge     // 1 on the instance that places
+	stalled       metrics.Gauge     // 1 on the instance that places while it cannot write progress
 	configVersion metrics.Gauge     // version in force here
 	appendTime    metrics.Histogram // of the holder's appends
 	submitTime    metrics.Histogram // from a submission's arrival to its answer
@@ -23,6 +24,7 @@
 	made := &instruments{
 		registry:      registry,
 		leading:       metrics.NewRegisteredGauge("term.leading", registry),
+		stalled:       metrics.NewRegisteredGauge("term.stalled", registry),
 		configVersion: metrics.NewRegisteredGauge("configuration.version", registry),
 	}
 	made.sessions = metrics.NewRegisteredGauge("sharing.sessions", registry)
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -33,12 +33,13 @@
 
 	early   chan struct{} // there are early states
 	beside  atomic.Bool   // they are being written beside a group
-	writing sync.Mutex    // held while states are appended
+	writing chan struct{} // holds one while states are appended
 
 	lock        sync.Mutex
 	earlyStates []jobs.Record // final ones that wait for no group
 	term        jobs.Term
 	opened      bool      // a renewal is due whatever the time
+	stalled     bool      // progress cannot be written
 	confirmedAt time.Time // when the last append to the states that succeeded was sent
 }
 
@@ -48,13 +49,14 @@
 		leader:      leader,
 		groups:      make(chan group, 2), // the engine's and a renewal
 		early:       make(chan struct{}, 1),
+		writing:     make(chan struct{}, 1),
 		term:        term,
 		confirmedAt: leader.clock.Now(),
 	}
 	i := leader.instance
 	w.states = &fencedPart{store: i.store, clock: i.clock, part: statePart, epoch: term.Epoch, sequence: sequence, seen: w.renewalSeen}
 	if part := detailPart(i.settings.StoreParts); part != statePart {
-		w.details = &fencedPart{store: i.store, clock: i.clock, part: part, epoch: term.Epoch, sequence: i.randomSequence(), seen: i.progressSeen}
+		w.details = &fencedPart{store: i.store, clock: i.clock, part: part, epoch: term.Epoch, sequence: i.randomSequence(), seen: i.progressSeen, tried: w.progressTried}
 	}
 	return w
 }
@@ -210,8 +212,12 @@
 }
 
 func (w *fencedWriter) writeStates(ctx context.Context, states []jobs.Record) error {
-	w.writing.Lock()
-	defer w.writing.Unlock()
+	select {
+	case w.writing <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-w.writing }()
 	sent := w.leader.clock.Now()
 	renewal, err := jobs.TermRecord(w.nextTerm())
 	if err != nil {
@@ -231,6 +237,7 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.term.Renewals++
+	w.term.Stalled = w.stalled
 	w.opened = false
 	return w.term
 }
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -23,6 +23,7 @@
 	statePrefix      = "e/"
 	termKey          = "term"
 	markKey          = "mark"
+	checkKey         = "check"
 	instancePrefix   = "i/"
 )
 
@@ -31,6 +32,7 @@
 	Epoch    int64  `json:"e"`
 	Holder   string `json:"h"`           // instance name and boot; empty once handed over
 	Renewals int64  `json:"n,omitempty"` // grows with each renewal
+	Stalled  bool   `json:"s,omitempty"` // the holder cannot write progress
 }
 
 // SubmissionRecord returns the record that accepts a job.
@@ -73,6 +75,10 @@
 	return Record{Key: markKey, Value: fmt.Appendf(nil, "%d.%d", epoch, number)}
 }
 
+// CheckRecord returns a record that says nothing: an instance appends it to learn whether
+// a part takes any.
+func CheckRecord() Record { return Record{Key: checkKey} }
+
 // CancelRecord returns the record that cancels a job.
 func CancelRecord(id string) Record { return Record{Key: cancelPrefix + id, Value: []byte{'1'}} }
 
