A gang that waits is ended only once no listed inventory has held it for 10 minutes

What callers saw: an accepted gang that waited was answered impossible_shape as another instance began to place while one worker of its rack was not listed. Where that worker never came back, the former holder let the gang wait for ever.

Cause: what can never be held was judged once, as a job came to a holder, by all workers that this holder had ever seen.

Evidence: TestGangThatWaitsIsNotEndedForAWorkerThatIsAwayForAMoment failed with "map[gang:{gang not_run impossible_shape no inventory of this cell holds 4x8}] != map[]".

Ruled out: judging a new holder's jobs by the former's list (it is nowhere on record); waiting without a bound (the caller is told nothing, though it could ask for another shape).

Change: jobs are queued as they come. Each group of alike jobs is judged by the listed workers whenever these or the targets change, and ended once none has held its shape for unheldMost, under old and new holders alike. Admission says at once what cannot be held, now also what only the guarantees of others keep out, which was accepted before and ended right after.

Why it holds: one rule by one list, whoever places; a worker that is listed again begins the time anew. The time is counted by each holder: holders that change more often than every 10 minutes put the end off, which keeps room from nobody, as nothing is kept for a shape that no rack holds.

--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -133,8 +133,11 @@
 	if _, known := inForce.Workspaces[request.Workspace]; !known {
 		return refuse(structs.ReasonUnknownWorkspace, 0, "")
 	}
-	if workers := i.workerSpecs(); len(workers) > 0 && !scheduler.CouldEverFit(workers, request.Shape) {
-		return refuse(structs.ReasonImpossibleShape, 0, "no inventory of this cell holds "+request.Shape.String())
+	if workers := i.workerSpecs(); len(workers) > 0 {
+		judged := scheduler.JobSpec{Workspace: request.Workspace, Class: request.Class, Shape: request.Shape, Idempotent: class.Idempotent}
+		if why := scheduler.Unholdable(workers, inForce, judged); why != "" {
+			return refuse(structs.ReasonImpossibleShape, 0, why)
+		}
 	}
 	key := structs.KeyID{Workspace: request.Workspace, Key: request.Key}
 	return &structs.Job{
--- a/scheduler/cluster.go
+++ b/scheduler/cluster.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/teaselcleat/teaselcleat/structs"
+	"github.com/teaselcleat/teaselcleat/targets"
 )
 
 // node is one worker as the scheduler sees it.
@@ -180,11 +181,8 @@
 	return zones
 }
 
-// CouldEverFit reports whether a shape fits the workers when all are empty.
-func CouldEverFit(workers []WorkerSpec, shape structs.Shape) bool {
-	c := newCluster()
-	for _, spec := range workers {
-		c.add(spec)
-	}
-	return c.couldEverFit(shape)
+// Unholdable says why workers that are empty cannot hold a job beside what the targets
+// guarantee to others; empty if they can.
+func Unholdable(workers []WorkerSpec, t *targets.Targets, job JobSpec) string {
+	return New(Config{Workers: workers, Targets: t}).unholdable(job)
 }
--- a/scheduler/pinned.go
+++ b/scheduler/pinned.go
@@ -30,11 +30,14 @@
 	return placement{}, false
 }
 
-// fitsBesideGuarantees reports whether the known workers, when empty, can hold
+// fitsBesideGuarantees reports whether the listed workers, when empty, can hold
 // a job that may not be stopped together with the guarantees of others.
 func (s *Scheduler) fitsBesideGuarantees(spec JobSpec) bool {
 	c := newCluster()
 	for _, n := range s.cluster.nodes {
+		if !n.up {
+			continue
+		}
 		added := c.add(n.spec)
 		c.change(added, func() { added.up = true })
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -67,6 +67,7 @@
 	key  groupKey
 	at   int // in the queue's order
 	jobs []*job
+	unheld
 }
 
 // Len, Less, Swap, Push and Pop implement heap.Interface.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -29,6 +29,7 @@
 	evacuated    map[string]bool // availability zones that get nothing new
 	losses       []loss          // early ones of the last lossSpan, in order
 	witnessDirty bool            // a worker came or went, or the targets changed
+	inventory    int64           // counts the changes of workers and targets, from 1 on
 	seq          int64
 	epoch        int64
 	logOut       bool
@@ -47,6 +48,7 @@
 		jobs:      map[string]*job{},
 		runs:      map[string]*run{},
 		epoch:     config.Epoch,
+		inventory: 1,
 	}
 	for _, spec := range config.Workers {
 		n := s.cluster.add(spec)
@@ -74,6 +76,7 @@
 	if s.roomChanged || now >= s.nextPass {
 		s.roomChanged = false
 		s.nextPass = now + tryEvery
+		actions = append(actions, s.endUnheld(now)...)
 		return append(actions, s.pass(s.queue.order, now)...)
 	}
 	if touched != nil {
@@ -85,7 +88,7 @@
 func (s *Scheduler) take(event Event, now Time) []Action {
 	switch e := event.(type) {
 	case Submitted:
-		return s.submitted(e.Job, now)
+		s.submitted(e.Job, now)
 	case Cancelled:
 		return s.cancelled(e.Job)
 	case Adopted:
@@ -116,20 +119,11 @@
 	return j
 }
 
-func (s *Scheduler) submitted(spec JobSpec, now Time) []Action {
+func (s *Scheduler) submitted(spec JobSpec, now Time) {
 	if _, known := s.jobs[spec.ID]; known {
-		return nil
-	}
-	if !s.cluster.couldEverFit(spec.Shape) {
-		return []Action{End{Job: spec.ID, Outcome: structs.OutcomeNotRun, Reason: structs.ReasonImpossibleShape,
-			Detail: "no inventory of this cell holds " + spec.Shape.String()}}
-	}
-	if !spec.Idempotent && !s.fitsBesideGuarantees(spec) {
-		return []Action{End{Job: spec.ID, Outcome: structs.OutcomeNotRun, Reason: structs.ReasonImpossibleShape,
-			Detail: spec.Shape.String() + " may not be stopped once started and does not fit beside the guarantees of others"}}
+		return
 	}
 	s.enqueue(s.newJob(spec), now)
-	return nil
 }
 
 func (s *Scheduler) enqueue(j *job, now Time) {
@@ -234,6 +228,7 @@
 	s.cluster.change(n, func() { n.up = true })
 	s.markEvacuated(n)
 	s.witnessDirty = true
+	s.inventory++
 }
 
 func (s *Scheduler) workerDown(id string) []Action {
@@ -243,6 +238,7 @@
 	}
 	s.cluster.change(n, func() { n.up = false })
 	s.witnessDirty = true
+	s.inventory++
 	var actions []Action
 	for _, r := range n.runs {
 		if !r.stopping {
@@ -254,6 +250,7 @@
 }
 
 func (s *Scheduler) setTargets(t *targets.Targets) {
+	s.inventory++
 	s.evacuated = t.Evacuated
 	for _, n := range s.cluster.nodes {
 		s.markEvacuated(n)
