No room is kept for a gang behind a run that is long overdue

What callers saw: a job waited beside three idle workers of four for twice its own declared time (4 h for 2 h, 16 h for 8 h), as they were kept for a gang.

Cause: a soft reservation is chosen anew every 30 s from when its workers should come free. A run beyond its estimate counts as taking half as long again as it has taken, so the gang's start recedes the longer it is overdue, without a bound.

Evidence: TestRoomIsNotKeptForAGangLongAfterItWasToStart failed with "kept_test.go:27: not true: i.starts("small", 30*scheduler.Minute)".

Ruled out: a bound on how long room is kept for one gang (twice the first expected wait and 30 s): it also hits gangs that wait since others went ahead of them.

Change: no room is expected of a run that has taken overdueFactor times its estimate, so no workers are reserved softly behind it.

Why it holds: the wait is bounded by the estimate of the run in the way, which does not grow with the time that the run takes. Workers that were cleared for a gang by stopping runs stay kept as before. Not covered: several runs in a row in the gang's way, each within its time.

Measured: that test passes, and one that room is kept until twice the estimate.

--- a/scheduler/estimate.go
+++ b/scheduler/estimate.go
@@ -118,3 +118,12 @@
 	}
 	return elapsed/2 + Second
 }
+
+// overdueFactor times its estimate a run has taken when nothing more is expected of it.
+const overdueFactor = 2.5
+
+// longOverdue reports whether a run has taken so long that its estimate says nothing.
+func (e *estimator) longOverdue(r *run, now Time) bool {
+	took := r.job.progress + now - r.started
+	return float64(took) >= overdueFactor*float64(e.estimate(r.job, planQuantile))
+}
--- a/scheduler/kept_test.go
+++ b/scheduler/kept_test.go
@@ -27,3 +27,24 @@
 		i.is.True(i.starts("small", 30*scheduler.Minute))
 	}
 }
+
+// Until then room is kept for it: a long job that comes later does not take its workers.
+func TestRoomIsKeptForAGangThatIsToStartSoon(t *testing.T) {
+	i := newIdler(t, 4, 4)
+	inTheWay := jobOf("in the way", "a", 1, 8)
+	inTheWay.Declared = 10 * scheduler.Minute
+	inTheWay.Idempotent = false
+	gang := jobOf("gang", "b", 4, 8)
+	gang.Shape.Adjacent = true
+	small := jobOf("small", "c", 1, 8)
+	small.Declared = 2 * 60 * scheduler.Minute
+	for _, job := range []scheduler.JobSpec{inTheWay, gang, small} {
+		job.Class = job.ID
+		job.Deadline = 48 * 60 * scheduler.Minute
+		i.submit(job)
+		i.now += scheduler.Second
+	}
+	i.is.True(!i.starts("small", 20*scheduler.Minute)) // twice the estimate
+	i.end("in the way", scheduler.RunFinished, "")
+	i.is.True(i.starts("gang", 3*scheduler.Second))
+}
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -175,7 +175,8 @@
 	return times
 }
 
-// roomTime estimates when a worker has so many free accelerators.
+// roomTime estimates when a worker has so many free accelerators. A run that is long overdue
+// may go on for ever: no room is expected of it.
 func (s *Scheduler) roomTime(n *node, wanted int, now Time) (Time, bool) {
 	if n.free >= wanted {
 		return now, true
@@ -186,6 +187,9 @@
 	}
 	endings := make([]ending, 0, len(n.runs))
 	for _, r := range n.runs {
+		if s.estimates.longOverdue(r, now) {
+			continue
+		}
 		endings = append(endings, ending{now + s.estimates.remaining(r, now), r.accelerators})
 	}
 	sort.SliceStable(endings, func(a, b int) bool { return endings[a].at < endings[b].at })
