A step is overdue only while users expect some of it to run

start_overdue was told of steps whose siblings are at work, too, which preferences may hold back. It is told by the same words as the bound now: nothing of the job at work, or tasks that last. Only the name of a line and a counter depend on it, no decision.

--- a/placing/held.go
+++ b/placing/held.go
@@ -123,8 +123,7 @@
 // watch notes since when the tasks of a unit have waited in an idle pool with plenty of room
 // while nothing of their job was at work; lasting tasks are expected to run each.
 func (h *holdUps) watch(unit *unit) {
-	waits := unit.step.spec.Lasting || !unit.job.atWork()
-	plenty := waits && h.idle(unit) && h.plenty(unit)
+	plenty := unit.mustNotStand() && h.idle(unit) && h.plenty(unit)
 	for _, task := range unit.tasks {
 		if !plenty {
 			task.roomSince = time.Time{}
@@ -134,6 +133,10 @@
 	}
 }
 
+// mustNotStand reports whether users expect some of a unit's tasks to run: nothing of its job
+// does, or each is expected to.
+func (u *unit) mustNotStand() bool { return u.step.spec.Lasting || !u.job.atWork() }
+
 // atWork reports whether a task of the job runs, as far as is known.
 func (j *job) atWork() bool {
 	for _, occurrence := range j.runs {
--- a/placing/heldtell.go
+++ b/placing/heldtell.go
@@ -39,6 +39,9 @@
 // overdue reports whether a unit has waited for longer than users expect in an idle pool with
 // plenty of room, under this holder. It does not go by what bounds the wait.
 func (h *holdUps) overdue(unit *unit) bool {
+	if !unit.mustNotStand() {
+		return false
+	}
 	waits := unit.step.readyAt
 	for _, task := range unit.tasks {
 		waits = latest(waits, task.overAt)
