--- a/placing/held_note_test.go
+++ b/placing/held_note_test.go
@@ -21,15 +21,20 @@
 	return details
 }
 
-func TestStepThatIsHeldBackSaysByWhichPreference(t *testing.T) {
-	is := is.New(t)
-	c := newCluster(2)
-	for rack := range 2 {
-		small := testStep(1, 1)
+// occupyRacks has a task take accelerators of a worker in each rack.
+func (c *cluster) occupyRacks(racks int, accelerators int64) {
+	for rack := range racks {
+		small := testStep(1, accelerators)
 		small.RequiredLabel = "r1-" + string(rune('0'+rack))
 		c.submit(testJob(hexID(rack+1), 1, small))
 	}
 	c.step()
+}
+
+func TestStepThatIsHeldBackSaysByWhichPreference(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(2)
+	c.occupyRacks(2, 1)
 	gang := gangStep(8, 4) // a whole rack
 	gang.EstimateMS = 60_000
 	held := testJob(hexID(9), 1, gang)
@@ -46,9 +51,7 @@
 func TestStepThatWaitsBesideIdleRoomIsToldAsOverdue(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(3)
-	for _, known := range c.engine.nodeOrder {
-		known.health.pause(c.now, time.Minute)
-	}
+	c.restAll()
 	held := testJob(hexID(1), 1, testStep(1, 1))
 	c.submit(held)
 	entries := []WorkerEntry{testWorker("unheard", "r1-0")}
@@ -69,9 +72,7 @@
 func TestStepHeldBackByWorkersAtRestBeginsInTimeInAnIdlePool(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(3)
-	for _, known := range c.engine.nodeOrder {
-		known.health.pause(c.now, time.Minute)
-	}
+	c.restAll()
 	held := testJob(hexID(1), 1, testStep(1, 1))
 	c.submit(held)
 	is.True(c.beginsWithin(held.ID, overdueAfter))
@@ -105,12 +106,7 @@
 func TestGangThatFitsOnceStillWaitsForItsRackInAnIdlePool(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(2)
-	for rack := range 2 {
-		small := testStep(1, 8)
-		small.RequiredLabel = "r1-" + string(rune('0'+rack))
-		c.submit(testJob(hexID(rack+1), 1, small))
-	}
-	c.step()
+	c.occupyRacks(2, 8)
 	gang := gangStep(4, 8) // a whole rack, of six workers that are free
 	gang.EstimateMS = 60_000
 	held := testJob(hexID(9), 1, gang)
