A run on record that lapsed is no time that its task waited

The time of a run that this holder had not seen start did not count as one in which it may have run.

TestRunOnRecordThatLapsedIsNoTimeThatItsTaskWaited fails on the code before. Only the name of a line and a counter depend on it, no decision.

--- a/placing/held_note_test.go
+++ b/placing/held_note_test.go
@@ -113,3 +113,27 @@
 	c.submit(held)
 	is.True(!c.beginsWithin(held.ID, 2*overdueAfter))
 }
+
+func TestRunOnRecordThatLapsedIsNoTimeThatItsTaskWaited(t *testing.T) {
+	is := is.New(t)
+	s := newHeldSite(t, 2, 6)
+	s.play(time.Second)
+	job := s.submit(testJob(hexID(1), 1, testStep(1, 1)))
+	s.play(time.Second)
+	nowhere := testStep(1, 1)
+	nowhere.RequiredLabel = "nowhere"
+	s.submit(testJob(hexID(2), 1, nowhere)) // so that the pool is looked at all the while
+	lost := s.find(s.engine.jobs[job].allTasks()[0].run.node.entry.ID)
+	lost.up = false
+	lost.running = map[jobs.TaskKey]crashRun{}
+	s.takeTerm()
+	s.tick()
+	for _, known := range s.engine.nodeOrder {
+		known.health.pause(s.now, time.Minute)
+	}
+	for s.runs(job, 0) == 0 && s.now.Sub(s.tookAt) < heldMost {
+		s.tick()
+	}
+	is.True(s.runs(job, 0) > 0)
+	is.Equal(len(heldFor(Plan{Notes: s.notes}, "start_overdue", job)), 0)
+}
--- a/placing/held_world_test.go
+++ b/placing/held_world_test.go
@@ -40,6 +40,7 @@
 	askTime  time.Duration // until a question is answered
 	valid    time.Duration // of a ticket
 	allowed  func(job, worker string) bool
+	notes    []Note // of all decisions
 }
 
 // newHeldSite has workers of eight accelerators.
@@ -199,6 +200,7 @@
 
 func (s *heldSite) decide() {
 	plan := s.engine.Decide(s.now)
+	s.notes = append(s.notes, plan.Notes...)
 	s.write(plan.Records...)
 	if len(plan.Records) > 0 {
 		s.engine.Recorded(s.now)
--- a/placing/job.go
+++ b/placing/job.go
@@ -62,7 +62,7 @@
 	pausing    pausing
 	stalls     int       // runs that were stopped as they stood still
 	roomSince  time.Time // since when it has waited beside plenty of room; zero: it does not
-	overAt     time.Time // when its last run that had begun was over
+	overAt     time.Time // when its last run that had begun, or may have, was over
 }
 
 // phase is how far a run got.
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -177,7 +177,7 @@
 		return
 	}
 	task.run = nil
-	if !run.startedAt.IsZero() {
+	if !run.startedAt.IsZero() || run.wantNode {
 		task.overAt = now
 	}
 	job := task.step.job
