--- a/placing/held.go
+++ b/placing/held.go
@@ -188,7 +188,8 @@
 	return unit.step.spec.Lasting || h.use(unit.job.queue.Pool) < idleUse
 }
 
-// use is the share of a pool that is in use, in cores, of the workers that are there.
+// use is the share of a pool that is in use, in cores, of the workers that are there; all
+// where none is.
 func (h *holdUps) use(pool string) float64 {
 	if known, seen := h.used[pool]; seen {
 		return known
@@ -200,7 +201,10 @@
 			whole += weighCores(known.entry.Capacity)
 		}
 	}
-	h.used[pool] = share(used, whole)
+	h.used[pool] = 1
+	if whole > 0 {
+		h.used[pool] = share(used, whole)
+	}
 	return h.used[pool]
 }
 
--- a/placing/held_note_test.go
+++ b/placing/held_note_test.go
@@ -137,3 +137,21 @@
 	is.True(s.runs(job, 0) > 0)
 	is.Equal(len(heldFor(Plan{Notes: s.notes}, "start_overdue", job)), 0)
 }
+
+func TestStepIsNotOverdueAsSoonAsEvacuatedWorkersAreBack(t *testing.T) {
+	is := is.New(t)
+	s := newHeldSite(t, 2, 6)
+	for _, life := range s.lives {
+		life.entry.Zone = "z1"
+	}
+	s.play(time.Second)
+	s.engine.Evacuate([]string{"z1"}, s.now)
+	job := s.submit(testJob(hexID(1), 1, testStep(1, 1)))
+	s.play(2 * overdueAfter)
+	for _, known := range s.engine.nodeOrder {
+		known.health.pause(s.now, time.Minute)
+	}
+	s.engine.Evacuate(nil, s.now)
+	is.True(s.wait(job, 0) <= heldBound)
+	is.Equal(len(heldFor(Plan{Notes: s.notes}, "start_overdue", job)), 0)
+}
