--- a/batch/giveup_test.go
+++ b/batch/giveup_test.go
@@ -239,8 +239,7 @@
 	})
 }
 
-// Progress that takes longer to read than a holder may take to begin does not keep all
-// from beginning.
+// It takes longer to read than a holder may take to begin.
 func TestTermIsTakenUpThoughReadingAllProgressTakesLong(t *testing.T) {
 	slow := func(h *holders) {
 		for _, way := range h.ways {
--- a/batch/relief_test.go
+++ b/batch/relief_test.go
@@ -14,8 +14,7 @@
 	}
 }
 
-// The part with the progress takes no appends of anybody for some time. No other could
-// write better, so the term stays, and what waits is started once the part is back.
+// No other could write better; what waits is started once the part is back.
 func TestTermStaysWhileNoInstanceCanWriteProgress(t *testing.T) {
 	for _, away := range []time.Duration{stalledAfter, 10 * time.Second, time.Minute} {
 		inHolders(t, func(*holders) {}, func(h *holders, is *is.I) {
@@ -34,8 +33,7 @@
 	}
 }
 
-// The way to the progress is cut for whichever instance places. The term does not go to and
-// fro between them all the time.
+// The way to the progress is cut for whichever instance places.
 func TestTermGoesToAndFroSeldomWhereEachHolderCannotWriteProgress(t *testing.T) {
 	inHolders(t, func(*holders) {}, func(h *holders, is *is.I) {
 		first, other := h.roles(is)
@@ -59,8 +57,7 @@
 	})
 }
 
-// An instance that could not write progress a moment ago does not claim the term of another
-// that cannot, and one that would not place next checks nothing.
+// Nor does an instance that would not place next check anything.
 func TestInstanceThatCouldNotWriteProgressRests(t *testing.T) {
 	inHolders(t, func(*holders) {}, func(h *holders, is *is.I) {
 		first, other := h.roles(is)
--- a/placing/idle_test.go
+++ b/placing/idle_test.go
@@ -36,8 +36,7 @@
 	c.engine.List(entries, c.now)
 }
 
-// Steps that prefer a rack did not begin for as long as their estimates say, though the
-// rack could not take them and the rest of the workers was idle.
+// The rest of the workers is idle, and the estimates are long.
 func TestStepDoesNotWaitForARackThatCannotTakeIt(t *testing.T) {
 	near := func(step jobs.Step, rack, label string) jobs.Step {
 		step.DataRack, step.RequiredLabel = rack, label
@@ -64,7 +63,6 @@
 	}
 }
 
-// A task that had failed was kept off its worker for good where no other may run it.
 func TestFailedTaskRunsAgainOnTheOnlyWorkerItMayUse(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(2)
@@ -78,8 +76,7 @@
 	is.True(c.begun(job.ID))
 }
 
-// A worker on which runs of three jobs had failed rested for 4 s, though no other may run
-// the fourth job.
+// Runs of three other jobs have failed on that worker.
 func TestTaskDoesNotWaitForTheRestOfTheOnlyWorkerItMayUse(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(2)
@@ -113,8 +110,7 @@
 	c.engine.Report(worker, c.now, nil, []EndedTask{end}, time.Time{}, c.now)
 }
 
-// Tasks with time to spare waited while workers that were empty were kept clear for a gang
-// that could not begin. The users count less than a third of the room as in use here.
+// The gang that room would be kept for cannot begin, and under a third of the cores is in use.
 func TestNoRoomIsKeptClearWhileUnderHalfIsInUse(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(2)
@@ -131,8 +127,7 @@
 // inOwnProcess is set where a test runs in a process of its own.
 const inOwnProcess = "PLACING_TEST_PROCESS"
 
-// An urgent step with as many tasks on each worker as it allows, and one left, kept the
-// search for room from ever ending, and with it all decisions.
+// It runs in a process of its own, as a search of room that does not end cannot be stopped.
 func TestUrgentStepAtItsWorkerLimitDoesNotHoldUpDecisions(t *testing.T) {
 	if os.Getenv(inOwnProcess) == "" {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/scheduler/caution_test.go
+++ b/scheduler/caution_test.go
@@ -77,8 +77,7 @@
 	return ended
 }
 
-// A gang that fills the only rack that holds it never ran again once a task had
-// failed on one of its workers.
+// The gang fills the only rack that holds it.
 func TestGangWhoseOnlyRackFailedItRunsAgain(t *testing.T) {
 	i := newIdler(t, 4, 4)
 	gang := jobOf("gang", "b", 4, 8)
@@ -99,7 +98,7 @@
 	i.is.Equal(i.ends["j"].Reason, structs.ReasonJobFails)
 }
 
-// Jobs behind one that avoids the free workers waited with it, though they avoid none.
+// Alike jobs are tried as one, but for the workers that they avoid.
 func TestJobThatAvoidsTheFreeWorkersHoldsUpNoOther(t *testing.T) {
 	i := newIdler(t, 2, 1)
 	i.submit(jobOf("j", "b", 1, 8))
@@ -109,7 +108,7 @@
 	i.is.True(i.starts("other", 3*scheduler.Second))
 }
 
-// A job with one try never started on an idle fleet of which each worker had failed a job.
+// Each worker of the idle fleet has failed another job.
 func TestJobWithOneTryDoesNotWaitForEverForAnUndoubtedWorker(t *testing.T) {
 	i := newIdler(t, 2, 1)
 	for n := range 2 {
@@ -125,7 +124,7 @@
 	i.is.True(i.starts("once", cautionMost))
 }
 
-// A worker that had been in quarantine was kept for a small job that may never come.
+// A worker that comes out of quarantine is to be tried by a small job, which may never come.
 func TestGangUsesWorkersThatNoSmallJobTriesAgain(t *testing.T) {
 	i := newIdler(t, 2, 2)
 	for n := range 3 {
@@ -139,8 +138,7 @@
 	i.is.True(i.starts("gang", cautionMost))
 }
 
-// A job with one try waited beside an idle worker that had failed a job, for as long as
-// the others ran.
+// The only idle worker has failed another job.
 func TestJobWithOneTryDoesNotWaitForAllRunsOfOthers(t *testing.T) {
 	i := newIdler(t, 2, 1)
 	i.submit(jobOf("failing", "c", 1, 8))
@@ -160,7 +158,7 @@
 	i.is.Equal(i.runs["once"].Members[0].Worker, doubted)
 }
 
-// The wait for workers that are not in doubt began anew with each try that a worker refused.
+// The bound counts from the failure that put a worker in doubt.
 func TestRefusedStartDoesNotBeginTheWaitForOtherWorkersAnew(t *testing.T) {
 	i := newIdler(t, 3, 1)
 	i.submit(jobOf("j", "b", 1, 8))
@@ -185,8 +183,7 @@
 	t.Fatal("it waits anew after each refusal")
 }
 
-// A gang that waited was ended as one that no rack holds, as one of its rack's workers was
-// away when another instance began to place.
+// The worker is away as another instance begins to place.
 func TestGangThatWaitsIsNotEndedForAWorkerThatIsAwayForAMoment(t *testing.T) {
 	is := is.New(t)
 	gang := jobOf("gang", "b", 4, 8)
--- a/scheduler/kept_test.go
+++ b/scheduler/kept_test.go
@@ -6,8 +6,7 @@
 	"github.com/teaselcleat/teaselcleat/scheduler"
 )
 
-// Workers kept for a gang stood idle for hours beside jobs that could use them, as the run
-// in the gang's way outlasted its estimate and the gang's start was put off again and again.
+// The start of a gang recedes with each estimate of a run that outlasts its own.
 func TestRoomIsNotKeptForAGangLongAfterItWasToStart(t *testing.T) {
 	for _, declared := range []scheduler.Time{5 * scheduler.Minute, 2 * 60 * scheduler.Minute, 8 * 60 * scheduler.Minute} {
 		i := newIdler(t, 4, 4)
--- a/scheduler/refusal_test.go
+++ b/scheduler/refusal_test.go
@@ -6,8 +6,7 @@
 	"github.com/teaselcleat/teaselcleat/scheduler"
 )
 
-// A gang went to and fro between two racks that each had a worker without an answer, and
-// was never tried in the third: a try took longer than such a worker was avoided.
+// A try takes longer than a worker without an answer is avoided.
 func TestGangTriesAllRacksBeforeOneThatDidNotAnswer(t *testing.T) {
 	i := newIdler(t, 12, 4)
 	gang := jobOf("gang", "b", 4, 8)
--- a/scheduler/unheld_test.go
+++ b/scheduler/unheld_test.go
@@ -28,7 +28,7 @@
 	i.is.Equal(i.s.Queued(), 0)
 }
 
-// A gang waited for ever under a holder that had once seen a worker which never came back.
+// The holder has once seen the worker that does not come back.
 func TestGangWhoseWorkerStaysAwayIsEnded(t *testing.T) {
 	i := newIdler(t, 4, 4)
 	i.submit(gangOf(4))
@@ -64,8 +64,7 @@
 	i.is.Equal(len(i.ends), 0)
 }
 
-// What can never be held is told to its caller at once, also what only the guarantees of
-// others keep out.
+// Guarantees of others may be all that keeps a job out.
 func TestUnholdableJobsAreKnownBeforeTheyAreAccepted(t *testing.T) {
 	is := is.New(t)
 	workers := workersOf(4, 4)
