--- a/batch/simworkers_test.go
+++ b/batch/simworkers_test.go
@@ -43,6 +43,8 @@
 	frozen       map[string]bool // instances that do nothing
 	silent       map[string]bool // instances that run, but whose sessions carry no messages
 	slow         map[string]time.Duration
+	answerDelay  map[string]time.Duration // by instance; answers to it take that long after their orders were carried out
+	listingNotes bool                     // an end counts as acknowledged once it is listed, whether or not the answer arrives
 	done         map[jobs.TaskKey]int
 	acknowledged map[jobs.TaskKey]bool // an end as done was acknowledged
 	newestRun    map[jobs.TaskKey]int  // highest run started on any worker
@@ -50,7 +52,7 @@
 
 func newSimWorkers(count int, taskTime time.Duration) *simWorkers {
 	s := &simWorkers{taskTime: taskTime, workers: map[string]*simWorker{}, cut: map[string]bool{}, frozen: map[string]bool{}, silent: map[string]bool{},
-		slow: map[string]time.Duration{}, done: map[jobs.TaskKey]int{}, acknowledged: map[jobs.TaskKey]bool{}, newestRun: map[jobs.TaskKey]int{}}
+		slow: map[string]time.Duration{}, answerDelay: map[string]time.Duration{}, done: map[jobs.TaskKey]int{}, acknowledged: map[jobs.TaskKey]bool{}, newestRun: map[jobs.TaskKey]int{}}
 	for number := range count {
 		w := &simWorker{callers: map[string]bool{}}
 		w.startIncarnation()
@@ -100,6 +102,26 @@
 	s.slow[instance] = latency
 }
 
+// setAnswerDelay delays the answers of workers to an instance, as on a congested link.
+func (s *simWorkers) setAnswerDelay(instance string, delay time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.answerDelay[instance] = delay
+}
+
+// awaitAnswer waits until an answer arrives, or returns an error if the call was given up before.
+func (c *simClient) awaitAnswer(ctx context.Context) error {
+	c.fleet.lock.Lock()
+	delay := c.fleet.answerDelay[c.instance]
+	c.fleet.lock.Unlock()
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // isMuted reports whether no messages pass between the leader and an instance.
 func (s *simWorkers) isMuted(instance string) bool {
 	s.lock.Lock()
@@ -197,6 +219,18 @@
 	}
 }
 
+// noteListedEnds records listed ends as acknowledged, if that is enough in this test.
+func (w *simWorker) noteListedEnds(s *simWorkers) {
+	if !s.listingNotes {
+		return
+	}
+	for _, end := range w.ends {
+		if end.Kind == placing.EndDone {
+			s.acknowledged[end.Task] = true
+		}
+	}
+}
+
 // simClient is the connection of one instance to the workers.
 type simClient struct {
 	fleet    *simWorkers
@@ -317,11 +351,15 @@
 		}
 		if len(w.ends) > 0 || time.Since(begin) >= order.Wait {
 			report := HoldReport{ClockMS: w.clockMS(), Ended: append([]placing.EndedTask(nil), w.ends...)}
+			w.noteListedEnds(c.fleet)
 			for key, began := range w.runs {
 				percent := int(100 * time.Since(began) / c.fleet.taskTime)
 				report.Running = append(report.Running, placing.RunningTask{Task: key.task, Run: key.run, Percent: percent})
 			}
 			c.fleet.lock.Unlock()
+			if err := c.awaitAnswer(ctx); err != nil {
+				return HoldReport{}, err
+			}
 			if bornMS != worker.BornMS {
 				return HoldReport{}, &OtherIncarnationError{BornMS: bornMS}
 			}
--- /dev/null
+++ b/placing/unread_end_test.go
@@ -0,0 +1,84 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/teaselcleat/teaselcleat/jobs"
+)
+
+// silentRun is an engine in which the worker of a task's first run has fallen silent. The run's lease
+// has expired at expiry; another worker has capacity.
+type silentRun struct {
+	engine *Engine
+	run    Start
+	expiry time.Time
+	others []WorkerEntry
+}
+
+func newSilentRun(t *testing.T) *silentRun {
+	is := is.New(t)
+	entries := []WorkerEntry{testWorker("w1", "r1-1"), testWorker("w2", "r1-1")}
+	e := testEngine(1)
+	e.LoadJobs([]*jobs.Job{{Submission: testJob(hexID(1), 1, testStep(1, 1))}}, FormerLeaderReleased, testStart)
+	e.MarkJobsComplete()
+	e.UpdateWorkers(entries, testStart)
+	for _, entry := range entries {
+		e.Report(entry.ID, testStart, nil, nil, time.Time{}, testStart)
+	}
+	starts := startAll(e, testStart)
+	is.Equal(len(starts), 1)
+	s := &silentRun{engine: e, run: starts[0], expiry: testStart.Add(6 * time.Second)}
+	e.WorkerUnreachable(s.run.Worker, s.expiry, testStart.Add(2*time.Second))
+	for _, entry := range entries {
+		if entry.ID != s.run.Worker {
+			s.others = append(s.others, entry)
+		}
+	}
+	return s
+}
+
+// reportDone reports that the first run had ended as done.
+func (s *silentRun) reportDone(now time.Time) {
+	end := EndedTask{Number: 1, Task: s.run.Task, Run: s.run.Run, Kind: EndDone}
+	s.engine.Report(s.run.Worker, now, nil, []EndedTask{end}, now.Add(6*time.Second), now)
+}
+
+func (s *silentRun) state() jobs.State { return s.engine.jobs[s.run.Task.Job].state }
+
+// Guards against a second start of a task that had ended as done on a worker that was silent for
+// longer than its lease, but alive.
+func TestRunOnAListedWorkerIsNotTakenAsOverBeforeItsEndCanBeRead(t *testing.T) {
+	is := is.New(t)
+	s := newSilentRun(t)
+	now := s.expiry.Add(2 * time.Second)
+	is.Equal(len(startAll(s.engine, now)), 0)
+	s.reportDone(now)
+	is.Equal(s.state(), jobs.StateDone)
+	is.Equal(len(startAll(s.engine, now)), 0)
+}
+
+// The ends of a worker that is not listed any more are lost with it.
+func TestRunOnAWorkerThatIsGoneRunsAgainOnceItsLeaseHasExpired(t *testing.T) {
+	is := is.New(t)
+	s := newSilentRun(t)
+	s.engine.UpdateWorkers(s.others, s.expiry)
+	is.Equal(len(startAll(s.engine, s.expiry)), 1)
+}
+
+// Guards against a start that is sent although the end of an earlier run has been read since it was
+// planned.
+func TestEndAsDoneWithdrawsAPlannedRun(t *testing.T) {
+	is := is.New(t)
+	s := newSilentRun(t)
+	s.engine.UpdateWorkers(s.others, s.expiry)
+	s.engine.Decide(s.expiry) // plans the second run
+	is.True(s.engine.jobs[s.run.Task.Job].task(s.run.Task).run != nil)
+	s.engine.UpdateWorkers(append(s.others, testWorker(s.run.Worker, "r1-1")), s.expiry)
+	s.reportDone(s.expiry)
+	is.Equal(s.state(), jobs.StateDone)
+	s.engine.MarkRecordsDurable(s.expiry)
+	is.Equal(len(s.engine.Decide(s.expiry).Starts), 0)
+}
