The deadline of a poll follows the latency of answers

Callers saw tasks run again that had ended as done. Cause: a poll was given up 0.6 s beyond its wait, whatever answers took; on a full link they took 0.57 to 0.67 s where they arrived. Each poll that was given up cost a connection and the ends in its answer, and the next one met the same link. Ruled out: a longer fixed margin, which would notice lost workers later. Change: the margin is four times the usual latency of this worker's answers beyond their wait, 0.6 s at least, and doubles with each poll in turn that is not answered, to 2 s. The first silence is noticed as soon as before.

--- a/batch/link.go
+++ b/batch/link.go
@@ -16,8 +16,10 @@
 	// holdWait is how long a worker may keep a hold call open while it waits for an end. A hold is
 	// the users' platform's name of a poll, see HoldOrder. Workers allow two seconds. A lease of six seconds outlasts three such calls.
 	holdWait = 1900 * time.Millisecond
-	// holdMargin is added to the wait of a hold before the call times out.
-	holdMargin = 600 * time.Millisecond
+	// minHoldMargin is the shortest time added to the wait of a hold before the call times out. The
+	// margin follows the latency of answers and doubles with each hold that is not answered: an answer
+	// that is given up takes the ends that it lists along.
+	minHoldMargin = 600 * time.Millisecond
 	// minHoldBackoff and maxHoldBackoff bound the backoff after a failed hold.
 	minHoldBackoff = 100 * time.Millisecond
 	maxHoldBackoff = 600 * time.Millisecond
@@ -37,8 +39,9 @@
 	env    *linkEnv
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     sync.WaitGroup // the hold loop and the orders
-	wake   chan struct{}  // an acknowledgement has arrived
+	wg     sync.WaitGroup  // the hold loop and the orders
+	wake   chan struct{}   // an acknowledgement has arrived
+	margin adaptiveTimeout // of holds, beyond their wait
 
 	lock          sync.Mutex
 	entry         placing.WorkerEntry
@@ -55,7 +58,13 @@
 }
 
 func newLink(env *linkEnv, entry placing.WorkerEntry) *link {
-	return &link{env: env, wake: make(chan struct{}, 1), entry: entry, pendingStarts: map[startKey]chan struct{}{}}
+	return &link{
+		env:           env,
+		wake:          make(chan struct{}, 1),
+		margin:        adaptiveTimeout{minimum: minHoldMargin},
+		entry:         entry,
+		pendingStarts: map[startKey]chan struct{}{},
+	}
 }
 
 func (l *link) setEntry(entry placing.WorkerEntry) {
@@ -129,20 +138,32 @@
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
 	l.setHold(sent, cancelCause)
-	callCtx, cancel := context.WithTimeout(ctx, wait+holdMargin)
+	callCtx, cancel := context.WithTimeout(ctx, wait+l.margin.current())
 	defer cancel()
 	report, err := l.env.workers.Hold(callCtx, l.worker(), order)
 	if err != nil && errors.Is(context.Cause(ctx), errHoldSuperseded) {
 		return report, sent, errHoldSuperseded
 	}
 	if err != nil {
+		if callCtx.Err() != nil {
+			l.margin.recordUnanswered()
+		}
 		return report, sent, err
 	}
+	l.observeLatency(l.env.clock.Now().Sub(sent), order.Wait)
 	l.recordAnswer(report.ClockMS)
 	l.confirmAck(order.Ack)
 	return report, sent, nil
 }
 
+// observeLatency records how long an answer took beyond the wait of its hold. A shorter answer says
+// nothing, as the worker did not use the whole wait.
+func (l *link) observeLatency(elapsed, wait time.Duration) {
+	if elapsed >= wait {
+		l.margin.observe(elapsed - wait)
+	}
+}
+
 // attachAck adds to an order the number up to which the worker may forget its ends, once. It
 // adds none while a later incarnation may receive the order, as that one would forget ends of its
 // own that nobody has read. It returns false if a number has to wait for an answer of the
