Runs on a listed worker stay open until their ends can be read

Cause: an expired lease was taken as proof that the run had come to nothing; it proves that nothing runs. A worker that is alive keeps its ends. Ruled out: never starting again what may have ended, as ends of a lost worker are lost for good. Change: while the store lists the worker, its runs stay open for six seconds after their leases expired; without an entry they are over at once, as before. TestRunOnAListedWorkerIsNotTakenAsOverBeforeItsEndCanBeRead failed (one second start) and passes; TestRunOnAWorkerThatIsGoneRunsAgainOnceItsLeaseHasExpired passes before and after.

--- a/placing/node.go
+++ b/placing/node.go
@@ -14,6 +14,10 @@
 	// leaseMargin covers the error of the estimate of the worker's clock and the delivery
 	// of an order.
 	leaseMargin = 400 * time.Millisecond
+	// maxEndWait is how long after their leases have expired the runs of a silent worker stay open
+	// while the worker is listed. Nothing runs there any more, but the worker is alive and may
+	// have ends as done that it could not report. An entry outlives its worker by a few seconds.
+	maxEndWait = 6 * time.Second
 )
 
 // LeaseExpiry returns the time after which a lease of some length has certainly
@@ -174,11 +178,19 @@
 	}
 }
 
+// runsOver reports whether the runs of a silent worker are over and their ends cannot be read.
+func (n *node) runsOver(now time.Time) bool {
+	if n.answering || n.leasesExpireAt.IsZero() || now.Before(n.leasesExpireAt) {
+		return false
+	}
+	return !n.listed || !now.Before(n.leasesExpireAt.Add(maxEndWait))
+}
+
 // expireLeases gives up runs on workers whose leases have expired.
 func (e *Engine) expireLeases(now time.Time) {
 	unlisted := false
 	for _, n := range e.nodeOrder {
-		if n.answering || n.leasesExpireAt.IsZero() || now.Before(n.leasesExpireAt) || len(n.runs) == 0 {
+		if len(n.runs) == 0 || !n.runsOver(now) {
 			continue
 		}
 		e.loseWorker(n, "lease lapsed", now)
