An end as done withdraws the planned run of its task, and is logged

Change: an end as done of a run that is not recorded any more withdraws a run, or a gang, of which nothing was sent. One that was sent goes on, as before: whether the earlier end counts is then not ours to say. The log tells the three cases apart: worker_silent has the lease that is left, worker_answers_again how long the silence and the answer took and what it lists, end_of_unknown_run an end whose run was taken as over.

--- a/batch/bounds_test.go
+++ b/batch/bounds_test.go
@@ -63,7 +63,7 @@
 	is := is.New(t)
 	link, _, _ := scriptedLink(nil)
 	link.env.bounds = newBounds(Bounds{MaxLease: longLease})
-	link.recordAnswer(1)
+	link.recordAnswer(HoldReport{ClockMS: 1}, link.env.clock.Now())
 	now := link.env.clock.Now()
 	link.extendLease(now)
 	grantedLapse := link.leaseExpiry()
--- a/batch/link.go
+++ b/batch/link.go
@@ -151,7 +151,7 @@
 		return report, sent, err
 	}
 	l.observeLatency(l.env.clock.Now().Sub(sent), order.Wait)
-	l.recordAnswer(report.ClockMS)
+	l.recordAnswer(report, sent)
 	l.confirmAck(order.Ack)
 	return report, sent, nil
 }
@@ -234,11 +234,18 @@
 	return l.extendLease(now)
 }
 
-func (l *link) recordAnswer(clockMS int64) {
+// recordAnswer records the answer to a hold that was sent at the given time.
+func (l *link) recordAnswer(report HoldReport, sent time.Time) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.workerClockMS = clockMS
-	l.workerClockAt = l.env.clock.Now()
+	now := l.env.clock.Now()
+	if !l.reachable && !l.workerClockAt.IsZero() {
+		l.env.log.WithField("worker", l.entry.ID).WithField("silent_ms", now.Sub(l.workerClockAt).Milliseconds()).
+			WithField("answer_ms", now.Sub(sent).Milliseconds()).WithField("lease_left_ms", l.expiry.Sub(now).Milliseconds()).
+			WithField("running", len(report.Running)).WithField("ended", len(report.Ended)).Info("worker_answers_again")
+	}
+	l.workerClockMS = report.ClockMS
+	l.workerClockAt = now
 	l.reachable = true
 }
 
@@ -246,9 +253,11 @@
 	l.lock.Lock()
 	wasReachable := l.reachable
 	l.reachable = false
+	leaseLeft := l.expiry.Sub(l.env.clock.Now())
 	l.lock.Unlock()
 	if wasReachable {
-		l.env.log.WithField("worker", l.worker().ID).WithField("error", err.Error()).Info("worker_silent")
+		l.env.log.WithField("worker", l.worker().ID).WithField("lease_left_ms", leaseLeft.Milliseconds()).
+			WithField("error", err.Error()).Info("worker_silent")
 	}
 	var refused *OrderError
 	if errors.As(err, &refused) {
--- a/batch/restart_test.go
+++ b/batch/restart_test.go
@@ -188,7 +188,7 @@
 				link, _, _ := scriptedLink(nil)
 				link.entry.BornMS = c.bornMS
 				link.env.bounds = newBounds(Bounds{MaxLease: simLease})
-				link.recordAnswer(1)
+				link.recordAnswer(HoldReport{ClockMS: 1}, link.env.clock.Now())
 				link.extendLease(link.env.clock.Now())
 				granted := link.leaseExpiry()
 				link.startRun(t.Context(), placing.Start{Worker: "w", Run: 1}, false, nil)
--- a/placing/report.go
+++ b/placing/report.go
@@ -176,6 +176,9 @@
 		return
 	}
 	task.lastRun = max(task.lastRun, end.Run)
+	if run == nil {
+		e.logUnknownRunEnd(n, end)
+	}
 	e.updateHealth(n, run, end, now)
 	e.applyTaskEnd(job, task, run, end, now)
 	if run != nil {
@@ -187,6 +190,13 @@
 	}
 }
 
+// logUnknownRunEnd logs an end of a run that is not recorded at the node: the run was taken as over,
+// or a former leader has handled its end.
+func (e *Engine) logUnknownRunEnd(n *node, end EndedTask) {
+	e.logEvent("end_of_unknown_run", e.jobs[end.Task.Job], n.entry.ID, end.Task.String()+" run "+strconv.Itoa(end.Run)+" "+string(end.Kind)+
+		" number "+strconv.FormatInt(end.Number, 10))
+}
+
 // logSkippedEnd logs an end that counts as handled although its run is still recorded at
 // the node.
 func (e *Engine) logSkippedEnd(n *node, end EndedTask) {
@@ -202,8 +212,10 @@
 	if job.state.Final() || task.done || end.Run <= task.lastEndedRun {
 		return
 	}
-	current := run != nil && run == task.run || run == nil && task.run == nil
-	if !current {
+	if run == nil && end.Kind == EndDone {
+		e.withdrawPlannedRun(task, now)
+	}
+	if run != task.run {
 		return
 	}
 	task.lastEndedRun = end.Run
@@ -221,6 +233,20 @@
 	}
 }
 
+// withdrawPlannedRun ends a run that was planned before an earlier run of its task, which counted as
+// lost, turned out to have ended as done. Nothing was sent for it, nor for the rest of its gang.
+func (e *Engine) withdrawPlannedRun(task *task, now time.Time) {
+	if task.run == nil || task.run.phase != phasePlanned {
+		return
+	}
+	for _, member := range task.gangMembers() {
+		if member.run != nil && member.run.phase != phasePlanned {
+			return
+		}
+	}
+	e.endRun(task.run, "an earlier run ended as done", now)
+}
+
 // taskDone marks a task, or its whole gang, as done and finishes the job after the last one.
 // Long-running tasks are never done.
 func (e *Engine) taskDone(job *job, task *task, now time.Time) {
