Full reads of the store are paced, and deadlines of reads follow latency

Cause, from a trial that logged each store call of eleven instances: each instance reads eight partitions from the start, at once, 0.9 MB each, which is 6.5 s of what the store transfers. It refuses with more than 2 s queued; what it had accepted was given up after 0.6 to 2 s and asked for again, so the queue stayed full although no answer arrived. What grows: instances times partitions. Ruled out: too many calls (3,000 a second of 16,000), connections (opened within 3 ms), claims. Change: an instance has two full reads in flight, one more after each timely answer, and one after a pause in proportion to the latency once the store is crowded or refuses. The margin of a read beyond its wait is four times the usual latency, 0.6 s at least, and doubles with each that is not answered. Progress and worker list of a leader are not paced.

--- a/batch/follower.go
+++ b/batch/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,9 +39,13 @@
 	// inactiveCheckInterval is how often a follower checks whether it is active.
 	inactiveCheckInterval = 200 * time.Millisecond
 	// operatorStreamReadWait is how long reads wait for operators' records. A read on a silent
-	// connection is abandoned after another readTimeoutSlack (package platform), which must fit into
-	// the two seconds in which a configuration takes effect.
+	// connection is abandoned after another minReadMargin, which must fit into the two seconds in
+	// which a configuration takes effect.
 	operatorStreamReadWait = time.Second
+	// minReadMargin is the shortest time added to the wait of a read before it is given up. The
+	// margin follows the latency of answers and doubles with each read that is not answered: a
+	// crowded store answers late, and a read that is given up is work for it all the same.
+	minReadMargin = 600 * time.Millisecond
 )
 
 // errWoken cancels a long read when the instance becomes the leader.
@@ -62,6 +67,8 @@
 	startDelay   time.Duration        // delay of the first read
 	wakeup       chan struct{}        // ends a pause; see wake
 	onFailure    func()               // called when a read fails
+	pacer        *loadPacer           // of full reads; nil for no limit
+	margin       adaptiveTimeout      // of reads, beyond their wait
 
 	lock            *sync.Mutex // held while records are applied; may be shared by followers
 	nextOffset      int64
@@ -85,7 +92,7 @@
 		}
 		if err := f.readOnce(ctx); err != nil && ctx.Err() == nil {
 			f.recordFailure(err)
-			if !logstream.Sleep(ctx, backoff) {
+			if !logstream.Sleep(ctx, backoff/2+rand.N(backoff)) {
 				return
 			}
 			backoff = min(maxRetryBackoff, 2*backoff)
@@ -125,13 +132,28 @@
 	f.lock.Lock()
 	f.cancelRead = cancel
 	f.lock.Unlock()
-	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), f.readWait())
+	batch, err := f.read(ctx, f.readWait())
 	if err != nil && errors.Is(context.Cause(ctx), errWoken) {
 		return batch, errWoken
 	}
 	return batch, err
 }
 
+// read reads from the current position on, within the usual latency.
+func (f *follower) read(ctx context.Context, wait time.Duration) (Batch, error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+f.margin.current())
+	defer cancel()
+	sent := f.clock.Now()
+	batch, err := f.store.Read(callCtx, f.stream, f.part, f.position(), wait)
+	switch elapsed := f.clock.Now().Sub(sent); {
+	case err == nil && elapsed >= wait:
+		f.margin.observe(elapsed - wait)
+	case err != nil && callCtx.Err() != nil && ctx.Err() == nil:
+		f.margin.recordUnanswered()
+	}
+	return batch, err
+}
+
 // pause waits for a duration or until it is woken.
 func (f *follower) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -160,11 +182,19 @@
 // load reads the newest record of each key. Reading continues at the offset that was recorded
 // before the first page.
 func (f *follower) load(ctx context.Context) error {
+	if f.pacer == nil {
+		return f.loadNow(ctx)
+	}
+	return f.pacer.run(ctx, func() error { return f.loadNow(ctx) })
+}
+
+func (f *follower) loadNow(ctx context.Context) error {
 	sent := f.clock.Now()
 	batch, err := f.store.ReadNewest(ctx, f.stream, f.part)
 	if err != nil {
 		return err
 	}
+	f.margin.observe(f.clock.Now().Sub(sent)) // a store that is crowded now will be for the next reads too
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if f.reset != nil {
@@ -227,7 +257,7 @@
 // are none, it waits up to wait for one.
 func (f *follower) refresh(ctx context.Context, wait time.Duration) error {
 	sent := f.clock.Now()
-	batch, err := f.store.Read(ctx, f.stream, f.part, f.position(), wait)
+	batch, err := f.read(ctx, wait)
 	if err != nil {
 		return err
 	}
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -70,6 +70,7 @@
 	foldLock      sync.Mutex
 	committers    []*committer // by part, starting at the first one for callers' records
 	peers         *peers
+	loadPacer     *loadPacer
 	delegations   delegations // sessions in which this instance is a delegate of the leader
 	eventLog      *eventLog
 
@@ -104,6 +105,7 @@
 	i.fold = newWorkFold(log)
 	i.peers = newPeers(i.clock)
 	i.eventLog = newEventLog(i.clock)
+	i.loadPacer = newLoadPacer(i.clock)
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, operatorStreamReadWait)
 	i.operator.apply = i.applyOperatorBatch
 	i.operator.reset = i.evacuations.reset
@@ -147,6 +149,7 @@
 		wakeup:    make(chan struct{}, 1),
 		readWait:  func() time.Duration { return readWait },
 		onFailure: func() { i.readFailedAt.Store(i.clock.Now().UnixNano()) },
+		pacer:     i.loadPacer,
 	}
 }
 
@@ -176,6 +179,7 @@
 	f.readInterval = i.progressReadInterval
 	f.readWait = func() time.Duration { return stateReadWait }
 	f.active = func() bool { return i.leading.Load() || i.isStandby() }
+	f.pacer = nil // a new leader, which places nothing before, does not yield to the others
 	return f
 }
 
--- a/batch/interfaces.go
+++ b/batch/interfaces.go
@@ -19,6 +19,8 @@
 	ErrResultUnknown = eris.New("no answer from the store")
 	// ErrFenced is returned if a leader with a higher epoch has written.
 	ErrFenced = eris.New("a later term has written")
+	// ErrOverloaded is returned if the store refuses a read because of its load.
+	ErrOverloaded = eris.New("the store is overloaded")
 	// ErrNotRetained is returned if the requested records are no longer retained.
 	ErrNotRetained = eris.New("records are no longer kept")
 )
@@ -57,10 +59,10 @@
 	// Errors: ErrNotApplied, ErrResultUnknown, ErrFenced.
 	Append(ctx context.Context, part int, records []jobs.Record, fence *Fence) error
 	// Read returns records of a part of a stream from an offset on. It waits up to wait for the
-	// first one. Errors: ErrNotRetained, or any failure of the call.
+	// first one. Errors: ErrNotRetained, ErrOverloaded, or any failure of the call.
 	Read(ctx context.Context, stream Stream, part int, from int64, wait time.Duration) (Batch, error)
 	// ReadNewest returns the newest record of each key. Reading has to continue at NextOffset, as
-	// others write while the pages are read.
+	// others write while the pages are read. Errors: ErrOverloaded, or any failure of the call.
 	ReadNewest(ctx context.Context, stream Stream, part int) (Batch, error)
 }
 
--- a/batch/workerlist.go
+++ b/batch/workerlist.go
@@ -19,6 +19,7 @@
 	f.apply = l.applyWorkerList
 	f.reset = func() { clear(l.entries) }
 	f.readInterval = func() time.Duration { return workerListReadInterval }
+	f.pacer = nil // the leader does not yield to the others
 	return f
 }
 
