Ends that are being recorded are fetched with the next renewal of the lease

While an append takes that long later ends cannot be recorded either. Tried and reverted: 15 seconds in place of six for which runs on listed workers stay open, as a run on a worker that nobody reaches must be done within 18 s (TestUnreachableWorkerIsGivenUpInTime).

--- a/batch/link.go
+++ b/batch/link.go
@@ -23,9 +23,10 @@
 	// minHoldBackoff and maxHoldBackoff bound the backoff after a failed hold.
 	minHoldBackoff = 100 * time.Millisecond
 	maxHoldBackoff = 600 * time.Millisecond
-	// ackTimeout is how long a link waits until ends are durable before it sends the next hold. An
-	// append takes milliseconds unless the store is down.
-	ackTimeout = 600 * time.Millisecond
+	// ackTimeout is how long a link waits until ends are durable before it sends the next hold, which
+	// would list them again. An append takes milliseconds unless the store is slow or down, and
+	// then later ends cannot be recorded either.
+	ackTimeout = holdWait
 	// maxAnswerAge is how long after its last answer an incarnation of a worker is assumed to still
 	// be the one that receives orders. A restart of a worker takes longer than this.
 	maxAnswerAge = 250 * time.Millisecond
