--- a/standin/keyedstore.go
+++ b/standin/keyedstore.go
@@ -177,6 +177,10 @@
 
 // append applies an append request and returns its reply. The caller holds s.mu.
 func (s *KeyedStore) append(query url.Values, body []byte) (status int, reply map[string]any) {
+	records, ok := splitRecords(body)
+	if !ok {
+		return http.StatusBadRequest, map[string]any{"error": "the records of the append cannot be read"}
+	}
 	p := s.partition(query.Get("topic"), query.Get("part"))
 	if query.Get("producer") != "" {
 		repeat, refused := p.checkProducer(parseNumber(query.Get("epoch")), parseNumber(query.Get("sequence")))
@@ -188,7 +192,7 @@
 		}
 	}
 	offset := p.end()
-	p.add(s.translateAddresses(splitRecords(body)))
+	p.add(s.translateAddresses(records))
 	p.dropOldest(s.faults.Retain)
 	return http.StatusOK, map[string]any{"offset": offset, "end": p.end()}
 }
@@ -218,16 +222,23 @@
 	return value
 }
 
-func splitRecords(body []byte) []storeRecord {
-	var records []storeRecord
-	for len(body) > 5 {
-		size := int(binary.BigEndian.Uint32(body))
-		content := body[4 : 4+size]
+// splitRecords decodes the body of an append; ok is false if it is malformed.
+func splitRecords(body []byte) (records []storeRecord, ok bool) {
+	for len(body) > 0 {
+		if len(body) < 4 {
+			return nil, false
+		}
+		size := int64(binary.BigEndian.Uint32(body))
+		body = body[4:]
+		if size < 1 || size > int64(len(body)) || int64(body[0]) >= size {
+			return nil, false
+		}
+		content := body[:size]
 		keyEnd := 1 + int(content[0])
 		records = append(records, storeRecord{key: string(content[1:keyEnd]), value: content[keyEnd:]})
-		body = body[4+size:]
+		body = body[size:]
 	}
-	return records
+	return records, true
 }
 
 func (s *KeyedStore) serveRead(w http.ResponseWriter, r *http.Request) {
