Instances that do not lead read operators' and callers' records less often

Change: the pause between reads of callers' records is as long as a job need not be visible, 3 s at most; reads of operators' records wait half the time in which a configuration takes effect. Both come from the deployment's bounds; without them nothing changes. Why it holds: a caller's question has the log read at once, the count of waiting jobs may be as old as that, a new configuration ends the read, and after a read on a silent connection there is time for another one.

--- a/batch/bounds.go
+++ b/batch/bounds.go
@@ -16,6 +16,12 @@
 	// EvacuationTimeout is the time after which nothing starts anymore in an evacuated availability
 	// zone; 0 if no bound is set.
 	EvacuationTimeout time.Duration
+	// ConfigTimeout is the time within which a configuration is in force at every instance; 0 if no
+	// bound is set.
+	ConfigTimeout time.Duration
+	// VisibilityTimeout is the time within which every instance knows of an accepted job; 0 if no
+	// bound is set.
+	VisibilityTimeout time.Duration
 }
 
 // boundsPropagationTime is how long after a change here other instances may still use the previous
--- a/batch/evacuation.go
+++ b/batch/evacuation.go
@@ -123,7 +123,7 @@
 	if i.leading.Load() {
 		return evacuationReadWait
 	}
-	return operatorStreamReadWait
+	return max(operatorStreamReadWait, i.bounds.latest().ConfigTimeout/2)
 }
 
 // mayStartInZone reports whether a start may be sent to a worker in a zone: the zone must not be
--- a/batch/follower.go
+++ b/batch/follower.go
@@ -38,9 +38,9 @@
 	callReadWait = 4 * time.Second
 	// inactiveCheckInterval is how often a follower checks whether it is active.
 	inactiveCheckInterval = 200 * time.Millisecond
-	// operatorStreamReadWait is how long reads wait for operators' records. A read on a silent
-	// connection is abandoned after another minReadMargin, which must fit into the two seconds in
-	// which a configuration takes effect.
+	// operatorStreamReadWait is how long reads wait for operators' records at least. Half the time in
+	// which a configuration takes effect leaves the other half for a second read after one on a
+	// silent connection; that time is two seconds where the deployment states none.
 	operatorStreamReadWait = time.Second
 	// minReadMargin is the shortest time added to the wait of a read before it is given up. The
 	// margin follows the latency of answers and doubles with each read that is not answered: a
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -27,9 +27,11 @@
 	// end of a read.
 	standbyReadInterval = 200 * time.Millisecond
 	standbyReadWait     = 300 * time.Millisecond
-	// nonLeaderCallReadInterval is the pause between reads of callers' records on instances that are
-	// not the leader. The count of waiting jobs may be two seconds old.
-	nonLeaderCallReadInterval = 1800 * time.Millisecond
+	// minNonLeaderCallReadInterval and maxNonLeaderCallReadInterval bound the pause between reads of
+	// callers' records on instances that are not the leader. The count of waiting jobs may be two
+	// seconds old, and leave out jobs that need not be visible yet.
+	minNonLeaderCallReadInterval = 1800 * time.Millisecond
+	maxNonLeaderCallReadInterval = 3 * time.Second
 	// leaderCallReadInterval is the pause between the leader's reads of callers' records, and
 	// leaderOwnReadInterval between its reads of its own records, which only show whether an append
 	// without an answer took effect.
@@ -212,7 +214,7 @@
 		return leaderCallReadInterval
 	}
 	if part != statePart {
-		return nonLeaderCallReadInterval
+		return i.nonLeaderCallReadInterval()
 	}
 	if i.isStandby() {
 		return standbyReadInterval
@@ -220,6 +222,10 @@
 	return nonLeaderReadInterval
 }
 
+func (i *Instance) nonLeaderCallReadInterval() time.Duration {
+	return max(minNonLeaderCallReadInterval, min(maxNonLeaderCallReadInterval, i.bounds.latest().VisibilityTimeout))
+}
+
 func (i *Instance) randomSequence() int64 { return rand.Int64N(1 << 40) }
 
 // Start runs the duties and returns at once. The log field "holder" is the name under which this
