Speeds of workers are learned from workers, by exploration, and used with caution

Logged on a copy: after 16 s half of the 350 workers were known, and no more later, as batch tasks fill the fullest workers first; gangs then got unknown ones; estimates lay between 0.8 and 1.3, as eight tasks of a step on one worker were compared with their own median. Change: each worker counts once in a comparison, of three workers at least; steps from which speeds are learned, and that can wait, go to unknown workers first; an unknown worker counts as slower than usual for urgent work; speed outweighs filling.

--- a/placing/fit.go
+++ b/placing/fit.go
@@ -276,7 +276,7 @@
 		if count == 0 || !node.accepts(unit) || v.closedTo(unit, node) || unit.emptyOnly && !v.suitsIsolation(node, unit.now) {
 			continue
 		}
-		weight := node.freeShare(v.free[node.at]) + v.nodeSpeedWeight(node, unit)
+		weight := node.freeShare(v.free[node.at]) + v.nodeSpeedWeight(node, unit) + v.nodeExplorationWeight(node, unit)
 		if unit.isolated {
 			weight = -weight // prefers nodes where the loss of the worker costs least
 		}
--- a/placing/job.go
+++ b/placing/job.go
@@ -44,6 +44,7 @@
 	advice          *advice        // nil until the first answer
 	adviceSentAt    time.Time      // when its last advice request was sent
 	rates           []progressRate // of its runs so far
+	comparedRates   int            // number of rates that were compared
 	hasSuspects     bool           // a run of one of its tasks was lost with the worker
 }
 
--- a/placing/speed.go
+++ b/placing/speed.go
@@ -16,6 +16,8 @@
 	speedSampleAfter = 1500 * time.Millisecond
 	// minSpeedSiblings is the minimum number of tasks of a step for a comparison.
 	minSpeedSiblings = 6
+	// minSpeedWorkers is the minimum number of workers that these are on.
+	minSpeedWorkers = 3
 	// maxSpeedSamples bounds the runs that an estimate is based on: a worker may change.
 	maxSpeedSamples = 8
 	// minCountedSpeed and maxCountedSpeed bound the samples that count: beyond them a worker is
@@ -31,11 +33,17 @@
 	// number that the variance is based on.
 	minSpeedPairs = 20
 	maxSpeedPairs = 200
+	// speedCaution is the logarithm by which a worker without samples counts as slower than usual:
+	// one slow member makes an urgent gang late, a fast one gains nothing.
+	speedCaution = 0.3
 	// speedWeight makes urgent work prefer fast workers to tightly filled ones, whose weights lie
-	// within four; rackSpeedWeight, in cores, makes it prefer fast racks to those that it fills
-	// best.
-	speedWeight     = 6
+	// within four, also where they differ by a fifth; rackSpeedWeight, in cores, makes it prefer
+	// fast racks to those that it fills best.
+	speedWeight     = 20
 	rackSpeedWeight = 1000
+	// explorationWeight is above the weights of filled workers and of racks in use. It makes work that
+	// is not urgent prefer workers of unknown speed, so that few are left when an urgent gang comes.
+	explorationWeight = 8
 )
 
 // speedEstimate is the speed of a worker relative to the usual one, estimated from its own
@@ -48,6 +56,11 @@
 // factor returns the estimate, which stays near one while there are few samples.
 func (s speedEstimate) factor() float64 { return math.Exp(s.logSum / (s.count + 1)) }
 
+// lowerFactor returns a cautious estimate, in which a worker with few samples counts as slower.
+func (s speedEstimate) lowerFactor() float64 {
+	return math.Exp((s.logSum - speedCaution) / (s.count + 1))
+}
+
 // add adds a sample. Beyond maxSpeedSamples it replaces an average one.
 func (s *speedEstimate) add(speed float64) {
 	if s.count >= maxSpeedSamples {
@@ -96,11 +109,17 @@
 	percentPerSecond float64
 }
 
+// comparesSpeed reports whether the runs of the step tell the speeds of workers. The members of a gang
+// advance together.
+func (s *step) comparesSpeed() bool {
+	return !s.spec.Gang && !s.spec.LongRunning && !s.spec.Filler
+}
+
 // compareSpeed samples the progress of a run once, after it has run for a while, and compares
 // it with that of its siblings.
 func (e *Engine) compareSpeed(run *run, now time.Time) {
 	step := run.task.step
-	if run.speedCompared || run.resumed || run.throttled || step.spec.Gang || step.spec.LongRunning || step.spec.Filler || run.startedAt.IsZero() {
+	if run.speedCompared || run.resumed || run.throttled || !step.comparesSpeed() || run.startedAt.IsZero() {
 		return
 	}
 	elapsed := now.Sub(run.startedAt)
@@ -109,28 +128,43 @@
 	}
 	run.speedCompared = true
 	step.rates = append(step.rates, progressRate{node: run.node, percentPerSecond: float64(run.percent) / elapsed.Seconds()})
-	if len(step.rates) < minSpeedSiblings {
+	if len(step.rates) < minSpeedSiblings || countWorkers(step.rates) < minSpeedWorkers {
 		return
 	}
 	median := medianRate(step.rates)
-	added := step.rates[len(step.rates)-1:]
-	if len(step.rates) == minSpeedSiblings {
-		added = step.rates
-	}
+	added := step.rates[step.comparedRates:]
+	step.comparedRates = len(step.rates)
 	for _, r := range added {
 		e.recordSpeed(r.node, r.percentPerSecond/median)
 	}
 }
 
-// medianRate returns the rate of a worker of the usual speed: the median of the samples, each
-// divided by the speed of its worker.
+// medianRate returns the rate of a worker of the usual speed: the median over the workers of
+// the mean of their samples, each divided by the speed of its worker.
 func medianRate(rates []progressRate) float64 {
-	normalized := make([]float64, len(rates))
-	for index, r := range rates {
-		normalized[index] = r.percentPerSecond / r.node.speed.factor()
+	sums := map[*node]speedEstimate{}
+	for _, r := range rates {
+		sum := sums[r.node]
+		sum.logSum += math.Log(r.percentPerSecond / r.node.speed.factor())
+		sum.count++
+		sums[r.node] = sum
+	}
+	means := make([]float64, 0, len(sums))
+	for _, sum := range sums {
+		means = append(means, sum.logSum/sum.count)
 	}
-	slices.Sort(normalized)
-	return normalized[len(normalized)/2]
+	slices.Sort(means)
+	middle := len(means) / 2
+	return math.Exp((means[middle] + means[(len(means)-1)/2]) / 2)
+}
+
+// countWorkers returns the number of workers that samples are from.
+func countWorkers(rates []progressRate) int {
+	workers := map[*node]bool{}
+	for _, r := range rates {
+		workers[r.node] = true
+	}
+	return len(workers)
 }
 
 // nodeSpeedWeight returns the part of a node's weight that comes from its speed, 0 unless the
@@ -139,7 +173,7 @@
 	if !v.speedsSignificant || unit.tier != tierUrgent {
 		return 0
 	}
-	return speedWeight * (1 - node.speed.factor())
+	return speedWeight * (1 - node.speed.lowerFactor())
 }
 
 // rackSpeedValue returns the value, in cores, of the speed of a gang's placements in a rack, 0
@@ -155,7 +189,17 @@
 func slowestSpeedOf(placements []placement) float64 {
 	slowest := math.Inf(1)
 	for _, p := range placements {
-		slowest = min(slowest, p.node.speed.factor())
+		slowest = min(slowest, p.node.speed.lowerFactor())
 	}
 	return slowest
 }
+
+// nodeExplorationWeight returns the part of a node's weight that is due to its speed being unknown, 0
+// unless the unit is one from which the speed is learned and can wait.
+func (v *view) nodeExplorationWeight(node *node, unit *unit) float64 {
+	explores := v.speedsSignificant && unit.tier != tierUrgent && unit.step.comparesSpeed() && len(unit.step.tasks) >= minSpeedSiblings
+	if !explores || node.speed.count > 0 {
+		return 0
+	}
+	return -explorationWeight
+}
