Ends that are being recorded are listed again by latency, and at once for a report

With a fixed 1.9 s between polls while ends are being recorded, the end of a run that was stopped to make room, or of any other, was read up to 1.3 s later than before, also on free links; a report that the stop asks for did not end that wait. Change: the wait is the time that an answer may take beyond a poll's wait, 0.6 s where answers are quick, and a request for a report ends it. TestEndOfAStoppedRunIsFetchedWhileEndsAreRecorded fails on the code before.

--- a/batch/link.go
+++ b/batch/link.go
@@ -23,10 +23,6 @@
 	// minHoldBackoff and maxHoldBackoff bound the backoff after a failed hold.
 	minHoldBackoff = 100 * time.Millisecond
 	maxHoldBackoff = 600 * time.Millisecond
-	// ackTimeout is how long a link waits until ends are durable before it sends the next hold, which
-	// would list them again. An append takes milliseconds unless the store is slow or down, and
-	// then later ends cannot be recorded either.
-	ackTimeout = holdWait
 	// maxAnswerAge is how long after its last answer an incarnation of a worker is assumed to still
 	// be the one that receives orders. A restart of a worker takes longer than this.
 	maxAnswerAge = 250 * time.Millisecond
@@ -41,7 +37,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup  // the hold loop and the orders
-	wake   chan struct{}   // an acknowledgement has arrived
+	wake   chan struct{}   // an acknowledgement has arrived, or a report is requested
 	margin adaptiveTimeout // of holds, beyond their wait
 
 	lock          sync.Mutex
@@ -54,6 +50,7 @@
 	expiry        time.Time // when the lease has expired for certain
 	reachable     bool
 	holdSentAt    time.Time                  // of the newest hold
+	reportWanted  bool                       // a report is requested that no hold has been sent for
 	cancelHold    context.CancelCauseFunc    // cancels the newest hold
 	pendingStarts map[startKey]chan struct{} // starts in flight; closing the channel withdraws one
 }
@@ -106,16 +103,17 @@
 	}
 }
 
-// awaitAck waits until the reported ends are durable, and returns how long the worker may keep
-// the next hold open: 0 if that hold would only bring the same ends.
+// awaitAck waits until the reported ends are durable or a new report is requested, and returns how
+// long the worker may keep the next hold open: 0 if that hold would bring the same ends. It waits as
+// long as a hold may take: on a congested link lists of the same ends would keep others from arriving.
 func (l *link) awaitAck(ctx context.Context, report HoldReport, waited time.Duration) time.Duration {
 	if len(report.Ended) == 0 {
 		return holdWait
 	}
 	newest := report.Ended[len(report.Ended)-1].Number
-	timer := time.NewTimer(ackTimeout)
+	timer := time.NewTimer(l.margin.current())
 	defer timer.Stop()
-	for l.newestAck() < newest {
+	for l.newestAck() < newest && !l.reportRequested() {
 		select {
 		case <-ctx.Done():
 			return 0
@@ -124,6 +122,9 @@
 		case <-l.wake:
 		}
 	}
+	if l.newestAck() < newest {
+		return 0
+	}
 	return holdWait
 }
 
@@ -193,6 +194,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.holdSentAt = sent
+	l.reportWanted = false
 	l.cancelHold = cancel
 }
 
@@ -201,9 +203,18 @@
 func (l *link) requestReport(after time.Time) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	l.reportWanted = true
 	if l.cancelHold != nil && !l.holdSentAt.After(after) {
 		l.cancelHold(errHoldSuperseded)
 	}
+	l.notify()
+}
+
+// reportRequested reports whether a report is requested that no hold has been sent for.
+func (l *link) reportRequested() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.reportWanted
 }
 
 // extendLease returns the lease to request. The lease is not extended while the worker does not
@@ -327,6 +338,11 @@
 	l.lock.Lock()
 	l.acked = max(l.acked, number)
 	l.lock.Unlock()
+	l.notify()
+}
+
+// notify ends a wait for acknowledgements, to look at what has changed.
+func (l *link) notify() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
