A run that is absent is over only when all ends up to that answer are handled

Cause: a new leader that has not read all callers' records leaves the end of a job that it does not know, and every later end of that worker, for the next answer. From the list of runs in the same answer it concluded at once: a run that had ended as done behind such an end was taken as lost by its worker, and its task was started again.

Change: runs that are absent, also those restored from the log and stopped ones, are concluded only from an answer whose ends were all handled. An answer with as many ends as a worker lists at a time counts as incomplete too, as further ones may follow. New log line ends_deferred.

Why it holds: a worker lists an end in every answer from the end on until it is acknowledged, so an answer whose ends are all handled and that lacks the run proves that it never was there or was lost. The wait is bounded: ends that wait are polled for again within the time that an answer may take, and count from the moment that all callers' records have been read; a full page is followed by the next one once it is recorded.

--- a/placing/node.go
+++ b/placing/node.go
@@ -39,6 +39,7 @@
 	at                     int            // index in the view of the present pass
 	unknownRuns            int            // runs there that this engine does not know
 	lastEnd                int64          // highest number of an end that was handled
+	deferredEnd            int64          // number of the first end that waits for its job to be known, as logged last
 	fullUntil              time.Time      // until when it gets nothing new after it refused a start for lack of capacity
 	leaveAt                time.Time      // when it may be gone, while leaving
 	evacuated              bool           // its availability zone gets nothing new
--- a/placing/report.go
+++ b/placing/report.go
@@ -7,6 +7,10 @@
 	"github.com/teaselcleat/teaselcleat/jobs"
 )
 
+// maxListedEnds is how many ends a worker lists in one answer. It lists further ones once these are
+// acknowledged.
+const maxListedEnds = 500
+
 // Report handles a worker's answer to a poll that was sent at sentAt. leasesExpireAt is when all
 // leases on the worker expire unless they are renewed later.
 func (e *Engine) Report(worker string, sentAt time.Time, running []RunningTask, ended []EndedTask, leasesExpireAt, now time.Time) {
@@ -25,18 +29,39 @@
 	if !leasesExpireAt.IsZero() {
 		n.leasesExpireAt = leasesExpireAt
 	}
+	complete := e.applyEnds(n, ended, now)
+	reported := e.applyRunning(n, running, now)
+	if complete {
+		e.reconcileMissing(n, reported, sentAt, now)
+	}
+	e.paceFillers(n, running, now)
+	if len(ended) > 0 && n.lastEnd > 0 {
+		e.pendingAcks[n] = n.lastEnd
+	}
+}
+
+// applyEnds handles listed ends in the order of their numbers. It reports whether all ends up to the
+// time of the answer are handled; others are listed again. Until then a run that is absent may be
+// one whose end is not handled.
+func (e *Engine) applyEnds(n *node, ended []EndedTask, now time.Time) (complete bool) {
 	for _, end := range ended {
 		if e.jobs[end.Task.Job] == nil && !e.jobsComplete {
-			break // it and later ends are listed again
+			e.logEndsDeferred(n, end)
+			return false
 		}
 		e.applyEnd(n, end, now)
 	}
-	reported := e.applyRunning(n, running, now)
-	e.reconcileMissing(n, reported, sentAt, now)
-	e.paceFillers(n, running, now)
-	if len(ended) > 0 && n.lastEnd > 0 {
-		e.pendingAcks[n] = n.lastEnd
+	return len(ended) < maxListedEnds
+}
+
+// logEndsDeferred logs the first of the ends that wait until their jobs are known, once.
+func (e *Engine) logEndsDeferred(n *node, end EndedTask) {
+	if n.deferredEnd == end.Number {
+		return
 	}
+	n.deferredEnd = end.Number
+	e.plan.LogEvents = append(e.plan.LogEvents, LogEvent{Event: "ends_deferred", Job: end.Task.Job, Worker: n.entry.ID,
+		Detail: "unknown job, number " + strconv.FormatInt(end.Number, 10)})
 }
 
 // applyRunning handles the rows of running tasks and returns the runs found.
@@ -127,8 +152,8 @@
 	return run
 }
 
-// reconcileMissing ends runs that the report should list but does not. A report decides only if
-// it was requested after the run was accepted, or after its stop was acknowledged. The first
+// reconcileMissing ends runs that the report should list but does not. A report decides only if all
+// ends up to its time are handled, and if it was requested after the run was accepted, or after its stop was acknowledged. The first
 // report of a term also decides for runs on record, since older orders are fenced off by then.
 func (e *Engine) reconcileMissing(n *node, reported map[*run]bool, sentAt, now time.Time) {
 	for _, run := range append([]*run(nil), n.runs...) {
