Model of placing: a new leader may not have read the newest jobs for up to six seconds

The model took all jobs as known from the beginning of each term, so it never played the state in which ends of unknown jobs wait. Now half of the changes of leader under faults leave the newest jobs unread for up to six seconds.

--- a/placing/sim_test.go
+++ b/placing/sim_test.go
@@ -110,6 +110,9 @@
 
 const simTick = 10 * time.Millisecond
 
+// maxPartOutage is how long parts of the store may be down for a new leader.
+const maxPartOutage = 6 * time.Second
+
 // soleLabel is a label that only one worker has. That worker is never removed.
 const soleLabel = "sole"
 
@@ -245,12 +248,48 @@
 	leader := &modelLeader{engine: testEngine(s.logEpoch), epoch: s.logEpoch, acks: map[string]int64{}, lastAnswerAt: map[string]time.Time{}, leaseUntil: map[string]time.Time{},
 		leaseExpiresAt: map[string]time.Time{}, answered: map[string]bool{}, links: map[string]bool{}}
 	s.readEvacuations(leader)
-	leader.engine.LoadJobs(s.table.All(), FormerLeaderUnknown, s.now)
-	leader.engine.MarkJobsComplete()
+	read, unread := s.drawUnreadJobs()
+	leader.engine.LoadJobs(read, FormerLeaderUnknown, s.now)
 	s.leader = leader
+	s.readSubmissions(leader, unread)
 	s.readWorkerList(leader)
 }
 
+// drawUnreadJobs returns the recorded jobs, and the newest ones apart if a new leader cannot read them
+// yet because the store is down in part.
+func (s *simulation) drawUnreadJobs() (read, unread []*jobs.Job) {
+	if len(s.jobs) == 0 || !s.chance(50) {
+		return s.table.All(), nil
+	}
+	behind := map[string]bool{}
+	for _, job := range s.jobs[len(s.jobs)-1-s.rng.IntN(len(s.jobs)):] {
+		behind[job.ID] = true
+	}
+	for _, job := range s.table.All() {
+		if behind[job.Submission.ID] {
+			unread = append(unread, job)
+		} else {
+			read = append(read, job)
+		}
+	}
+	return read, unread
+}
+
+// readSubmissions passes the jobs that a new leader could not read to it, after an outage if there are any.
+func (s *simulation) readSubmissions(l *modelLeader, unread []*jobs.Job) {
+	if len(unread) == 0 {
+		l.engine.MarkJobsComplete()
+		return
+	}
+	s.schedule(time.Duration(s.rng.Int64N(int64(maxPartOutage))), func() {
+		s.recordFault()
+		for _, job := range unread {
+			l.engine.ApplyJob(job, s.now)
+		}
+		l.engine.MarkJobsComplete()
+	})
+}
+
 // readWorkerList passes the worker list to a leader. Removed workers are not on it; restarting
 // ones are listed with the incarnation that the list last showed.
 func (s *simulation) readWorkerList(l *modelLeader) {
