--- a/batch/leaderstall_test.go
+++ b/batch/leaderstall_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
 	"github.com/teaselcleat/teaselcleat/placing"
@@ -18,6 +19,8 @@
 // another instance can.
 const failoverTimeout = 30 * time.Second
 
+var errConnectionReset = eris.New("connection reset")
+
 // sharedLog is the work stream and the worker list shared by all instances.
 type sharedLog struct {
 	fleet  *simWorkers
@@ -31,6 +34,7 @@
 	*sharedLog
 	lock        sync.Mutex
 	stuck       bool          // appends of progress are neither answered nor carried out
+	resetParts  map[int]bool  // reads of these parts of the work stream end with a reset connection
 	newestDelay time.Duration // duration of a read of all progress
 }
 
@@ -46,6 +50,22 @@
 	return c.stuck
 }
 
+// setReset makes reads of a part fail, or succeed again.
+func (c *logClient) setReset(part int, reset bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.resetParts == nil {
+		c.resetParts = map[int]bool{}
+	}
+	c.resetParts[part] = reset
+}
+
+func (c *logClient) isReset(stream Stream, part int) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return stream == StreamWork && c.resetParts[part]
+}
+
 func (c *logClient) Append(ctx context.Context, part int, records []jobs.Record, fence *Fence) error {
 	if part == progressPart(8) && c.isStuck() {
 		<-ctx.Done()
@@ -71,6 +91,9 @@
 
 func (c *logClient) Read(ctx context.Context, stream Stream, part int, from int64, wait time.Duration) (Batch, error) {
 	for until := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		if c.isReset(stream, part) {
+			return Batch{}, errConnectionReset
+		}
 		batch := c.readFrom(stream, part, from)
 		if len(batch.Records) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
 			time.Sleep(time.Millisecond)
@@ -80,6 +103,9 @@
 }
 
 func (c *logClient) ReadNewest(ctx context.Context, stream Stream, part int) (Batch, error) {
+	if c.isReset(stream, part) {
+		return Batch{}, errConnectionReset
+	}
 	if stream == StreamWork && part == progressPart(8) {
 		select {
 		case <-ctx.Done():
