A read up to now reads to the end of the part, not one page of it

Cause: refresh read one answer, which holds 256 KB at the most, and counted as a read of all records written before the call. From that a new leader concluded that it knows all jobs (and dropped ends, and stopped runs, of jobs beyond the page), and an instance that a job does not exist.

Change: an answer to a read carries the end of the part, and refresh reads on to the end that the first answer stated. The bound is that first end, so records that keep arriving don't prolong it. An empty answer before that end is an error.

--- a/batch/follower.go
+++ b/batch/follower.go
@@ -51,6 +51,9 @@
 // errWoken cancels a long read when the instance becomes the leader.
 var errWoken = eris.New("the instance is now the leader")
 
+// errPartIncomplete is returned if the store does not return records that a part has.
+var errPartIncomplete = eris.New("an answer without records before the end of the part")
+
 // follower keeps up with one stream: it reads the newest record of each key, then the tail. It is
 // used by one goroutine, except for its accessors.
 type follower struct {
@@ -256,15 +259,31 @@
 // refresh reads the records written before the call, so that the fold then contains them. If there
 // are none, it waits up to wait for one.
 func (f *follower) refresh(ctx context.Context, wait time.Duration) error {
-	sent := f.clock.Now()
-	batch, err := f.read(ctx, wait)
+	batch, err := f.readNext(ctx, wait)
 	if err != nil {
 		return err
 	}
-	f.applyBatch(batch, sent)
+	for end := batch.End; f.position() < end; {
+		if batch, err = f.readNext(ctx, 0); err != nil {
+			return err
+		}
+		if len(batch.Records) == 0 && f.position() < end {
+			return errPartIncomplete
+		}
+	}
 	return nil
 }
 
+// readNext reads and applies the records of one answer.
+func (f *follower) readNext(ctx context.Context, wait time.Duration) (Batch, error) {
+	sent := f.clock.Now()
+	batch, err := f.read(ctx, wait)
+	if err == nil {
+		f.applyBatch(batch, sent)
+	}
+	return batch, err
+}
+
 func (f *follower) recordAnswer(sent time.Time) {
 	if f.failures > 0 {
 		f.log.WithField("stream", string(f.stream)).WithField("part", f.part).Info("store_regained")
--- a/batch/interfaces.go
+++ b/batch/interfaces.go
@@ -50,6 +50,7 @@
 	Records    []jobs.Record
 	Offsets    []int64
 	NextOffset int64 // offset of the next read
+	End        int64 // of Read: offset after the newest record of the part; the answer may end before
 }
 
 // Store is the service of the platform that keeps the log: streams of keyed records. Its methods may be called concurrently, and
--- a/batch/leaderstall_test.go
+++ b/batch/leaderstall_test.go
@@ -34,6 +34,8 @@
 	*sharedLog
 	lock        sync.Mutex
 	stuck       bool          // appends of progress are neither answered nor carried out
+	readDelay   time.Duration // duration of a read of the work stream
+	pageSize    int           // maximum number of callers' records in an answer to a read; 0 for no limit
 	resetParts  map[int]bool  // reads of these parts of the work stream end with a reset connection
 	newestDelay time.Duration // duration of a read of all progress
 }
@@ -60,6 +62,19 @@
 	c.resetParts[part] = reset
 }
 
+func (c *logClient) delay() time.Duration {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.readDelay
+}
+
+// setDelay sets how long reads of the work stream take.
+func (c *logClient) setDelay(delay time.Duration) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.readDelay = delay
+}
+
 func (c *logClient) isReset(stream Stream, part int) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -90,11 +105,19 @@
 }
 
 func (c *logClient) Read(ctx context.Context, stream Stream, part int, from int64, wait time.Duration) (Batch, error) {
+	if stream == StreamWork {
+		time.Sleep(c.delay())
+	}
 	for until := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		if c.isReset(stream, part) {
 			return Batch{}, errConnectionReset
 		}
 		batch := c.readFrom(stream, part, from)
+		batch.End = batch.NextOffset
+		if c.pageSize > 0 && part != statePart && part != progressPart(8) && len(batch.Records) > c.pageSize {
+			batch.Records, batch.Offsets = batch.Records[:c.pageSize], batch.Offsets[:c.pageSize]
+			batch.NextOffset = from + int64(c.pageSize)
+		}
 		if len(batch.Records) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
 			time.Sleep(time.Millisecond)
 			return batch, ctx.Err()
--- a/batch/partialread_test.go
+++ b/batch/partialread_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
 )
@@ -22,6 +23,17 @@
 	}
 }
 
+// idsInOnePart returns the IDs of jobs whose records are in one part.
+func idsInOnePart(count int) []string {
+	var ids []string
+	for number := 1; len(ids) < count; number++ {
+		if id := fmt.Sprintf("b%d", number); partOf(id, 8) == 1 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // submitOnAll submits a job with one task on each of the workers, small enough for others beside it.
 func (p *instancePair) submitOnAll(instance, id string, is *is.I) {
 	submission := &jobs.Submission{ID: id, Queue: jobs.Queue{Name: "q", Pool: "pool", MaxAttempts: 4, Stretch: 3, TargetMS: 1000}}
@@ -75,3 +87,62 @@
 		is.Equal(pair.fleet.doneRuns(), 2*len(pair.fleet.workers))
 	})
 }
+
+// Guards against runs that are stopped, and ends that are acknowledged unread, because a new leader took
+// the first page of callers' records for all of them.
+func TestJobsBeyondThePageThatTheNextLeaderReadsFirstAreNotRunAgain(t *testing.T) {
+	prepare := func(pair *instancePair) {
+		pair.fleet.taskTime = 3 * time.Second
+		for _, client := range pair.clients {
+			client.pageSize = 1
+		}
+	}
+	withInstancePair(t, prepare, func(pair *instancePair, is *is.I) {
+		ids := idsInOnePart(6)
+		leader, standby := pair.leaderAndStandby(is)
+		pair.clients[standby].setReset(partOf(ids[0], 8), true)
+		for _, id := range ids {
+			pair.submitOnAll(leader, id, is)
+		}
+		for _, id := range ids {
+			is.True(pair.startsWithin(id, maxTaskWait))
+		}
+		pair.instances[leader].Drain()
+		is.True(pair.becomesLeader(standby, failoverTimeout))
+		is.Equal(pair.fleet.doneRuns(), 0)
+		pair.clients[standby].setDelay(500 * time.Millisecond)
+		pair.clients[standby].setReset(partOf(ids[0], 8), false)
+		time.Sleep(5 * maxTaskWait)
+		for _, id := range ids {
+			is.Equal(pair.state(standby, id), jobs.StateDone)
+		}
+		is.Equal(pair.fleet.sum(func(w *simWorker) int { return w.doubleRuns }), 0)
+		is.Equal(pair.fleet.doneRuns(), len(ids)*len(pair.fleet.workers))
+		is.Equal(pair.fleet.sum(func(w *simWorker) int { return w.startCount }), len(ids)*len(pair.fleet.workers))
+	})
+}
+
+// pagedStore answers reads with one record of three.
+type pagedStore struct {
+	Store
+	stuck bool // it returns no record after the first
+}
+
+func (s *pagedStore) Read(_ context.Context, _ Stream, _ int, from int64, _ time.Duration) (Batch, error) {
+	batch := Batch{NextOffset: from, End: 3}
+	if from < batch.End && (from == 0 || !s.stuck) {
+		batch.Records, batch.Offsets, batch.NextOffset = []jobs.Record{{Key: "r"}}, []int64{from}, from+1
+	}
+	return batch, nil
+}
+
+// Guards against answers about jobs that were accepted, but are beyond the first page of a read.
+func TestARefreshReadsToTheEndOfThePart(t *testing.T) {
+	is := is.New(t)
+	store := &pagedStore{}
+	instance := New(Settings{Name: "a", StoreParts: 8, CPUShare: 1}, store, nil, nil, metrics.NewRegistry(), discardLog())
+	is.NoErr(instance.calls[0].refresh(t.Context(), 0))
+	is.Equal(instance.calls[0].position(), int64(3))
+	store.stuck = true
+	is.True(instance.calls[1].refresh(t.Context(), 0) != nil)
+}
