A worker that is absent from a list that may be incomplete is not taken as gone

Cause: the runs of a silent worker were over as soon as its leases had expired if the list of workers lacked it. A list that a new leader has not read yet lacks all workers, and after an outage of the store it lacks those whose entries expired meanwhile, for about two seconds. Such workers may have ends as done that nobody has read.

Change: while the list has not been read, its reads fail or are silent, or it has been read for less than 2.5 s since, an absent worker is treated like a listed one: its runs are over six seconds after its leases have expired. So the wait is bounded however long the list stays incomplete. Nothing changes while the store answers.

Tests: TestRunOnAWorkerThatIsAbsentFromAnIncompleteList... and TestWaitForACompleteListIsBounded failed before (a second start at the expiry of the leases); TestListIsIncomplete... holds the condition.

--- a/batch/follower.go
+++ b/batch/follower.go
@@ -79,6 +79,7 @@
 	loaded          bool
 	contactAt       time.Time               // when the last answered read was sent
 	answeredAt      time.Time               // when it was answered
+	steadySince     time.Time               // since when every read was answered
 	cancelRead      context.CancelCauseFunc // ends the read in progress
 	failures        int                     // consecutive failed reads
 }
@@ -288,8 +289,11 @@
 	if f.failures > 0 {
 		f.log.WithField("stream", string(f.stream)).WithField("part", f.part).Info("store_regained")
 	}
-	f.failures = 0
 	f.answeredAt = f.clock.Now()
+	if f.failures > 0 || f.steadySince.IsZero() {
+		f.steadySince = f.answeredAt
+	}
+	f.failures = 0
 	if sent.After(f.contactAt) {
 		f.contactAt = sent
 	}
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -217,6 +217,7 @@
 			return
 		}
 		l.engine.SetListReadAt(l.workerList.lastContact())
+		l.engine.SetListIncomplete(l.listIncomplete(l.clock.Now()))
 		l.engine.SetEvacuationsReadAt(l.instance.operator.lastContact())
 		l.engine.SetLimits(l.instance.limits())
 		plan := l.engine.Decide(l.clock.Now())
--- a/batch/workerlist.go
+++ b/batch/workerlist.go
@@ -14,6 +14,10 @@
 // a second. A worker that leaves has to be noticed within two seconds.
 const workerListReadInterval = 400 * time.Millisecond
 
+// entryReturnTime is how long after an outage of the store entries that expired meanwhile may be absent.
+// The platform states about two seconds.
+const entryReturnTime = 2500 * time.Millisecond
+
 func (l *leader) newWorkerListFollower() *follower {
 	f := l.instance.newFollower(StreamWorkers, 0, &sync.Mutex{}, stateReadWait)
 	f.apply = l.applyWorkerList
@@ -23,6 +27,14 @@
 	return f
 }
 
+// listIncomplete reports whether workers that are alive may be absent from the list.
+func (l *leader) listIncomplete(now time.Time) bool {
+	f := l.workerList
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return !f.loaded || f.failures > 0 || now.Sub(f.contactAt) > contactTimeout || now.Sub(f.steadySince) < entryReturnTime
+}
+
 func (l *leader) applyWorkerList(batch Batch) {
 	for _, record := range batch.Records {
 		entry, gone, err := l.instance.decoder.Worker(record)
--- a/batch/workerlist_test.go
+++ b/batch/workerlist_test.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -39,3 +41,36 @@
 	}
 	return placing.WorkerEntry{ID: record.Key, Pool: string(record.Value)}, false, nil
 }
+
+// Guards against workers that count as gone because a list was not read, or was read before the entries
+// that expired in an outage of the store are back.
+func TestListIsIncompleteUntilItHasBeenReadForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		l := newTestLeader(ctx, &recordsStore{}, 5)
+		useTestClock(l.instance.clock)
+		l.workerList = l.newWorkerListFollower()
+		incomplete := func() bool { return l.listIncomplete(l.clock.Now()) }
+		read := func(duration time.Duration) {
+			for range duration / (100 * time.Millisecond) {
+				l.workerList.applyBatch(Batch{}, l.clock.Now())
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		is.True(incomplete()) // it was not read
+		is.NoErr(l.workerList.load(ctx))
+		is.True(incomplete()) // entries may still return
+		read(entryReturnTime)
+		is.True(!incomplete())
+		l.workerList.recordFailure(errConnectionReset)
+		is.True(incomplete())
+		read(entryReturnTime - 200*time.Millisecond)
+		is.True(incomplete())
+		read(400 * time.Millisecond)
+		is.True(!incomplete())
+		time.Sleep(2 * contactTimeout) // reads are silent
+		is.True(incomplete())
+	})
+}
--- a/placing/capacity.go
+++ b/placing/capacity.go
@@ -13,6 +13,10 @@
 // SetListReadAt sets the time when the list of workers was last read.
 func (e *Engine) SetListReadAt(at time.Time) { e.listReadAt = at }
 
+// SetListIncomplete sets whether workers that are alive may be absent from the list: it has not been
+// read, or the store has just come back and entries that expired meanwhile are still to return.
+func (e *Engine) SetListIncomplete(incomplete bool) { e.listIncomplete = incomplete }
+
 // logResize logs a change of the capacity that a worker offers, and invalidates what was cached
 // for the former capacity.
 func (e *Engine) logResize(n *node, entry WorkerEntry) {
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -24,6 +24,7 @@
 	guarantees          map[string]int64
 	uncheckedPools      map[string]bool       // pools whose workers accept starts without checking their capacity
 	listReadAt          time.Time             // when the list of workers was last read
+	listIncomplete      bool                  // see SetListIncomplete
 	overGuarantee       map[string]bool       // by workspace, see updateOverGuarantee
 	estimates           map[string]*estimate  // by queue
 	queueWork           map[string]*queueWork // by queue
--- a/placing/node.go
+++ b/placing/node.go
@@ -15,7 +15,7 @@
 	// of an order.
 	leaseMargin = 400 * time.Millisecond
 	// maxEndWait is how long after their leases have expired the runs of a silent worker stay open
-	// while the worker is listed. Nothing runs there any more, but the worker is alive and may
+	// while the worker is listed, or may be. Nothing runs there any more, but the worker is alive and may
 	// have ends as done that it could not report. An entry outlives its worker by a few seconds.
 	maxEndWait = 6 * time.Second
 )
@@ -179,19 +179,21 @@
 	}
 }
 
-// runsOver reports whether the runs of a silent worker are over and their ends cannot be read.
-func (n *node) runsOver(now time.Time) bool {
+// runsOver reports whether the runs of a silent worker are over and their ends cannot be read. A worker
+// that is absent from a list that may be incomplete may be alive.
+func (e *Engine) runsOver(n *node, now time.Time) bool {
 	if n.answering || n.leasesExpireAt.IsZero() || now.Before(n.leasesExpireAt) {
 		return false
 	}
-	return !n.listed || !now.Before(n.leasesExpireAt.Add(maxEndWait))
+	gone := !n.listed && !e.listIncomplete
+	return gone || !now.Before(n.leasesExpireAt.Add(maxEndWait))
 }
 
 // expireLeases gives up runs on workers whose leases have expired.
 func (e *Engine) expireLeases(now time.Time) {
 	unlisted := false
 	for _, n := range e.nodeOrder {
-		if len(n.runs) == 0 || !n.runsOver(now) {
+		if len(n.runs) == 0 || !e.runsOver(n, now) {
 			continue
 		}
 		e.loseWorker(n, "lease lapsed", now)
--- a/placing/unread_end_test.go
+++ b/placing/unread_end_test.go
@@ -82,3 +82,36 @@
 	s.engine.MarkRecordsDurable(s.expiry)
 	is.Equal(len(s.engine.Decide(s.expiry).Starts), 0)
 }
+
+// Guards against a second start of a task that had ended as done on a worker whose entry had expired
+// while the store was down, or that a new leader has not read yet.
+func TestRunOnAWorkerThatIsAbsentFromAnIncompleteListIsNotTakenAsOver(t *testing.T) {
+	is := is.New(t)
+	s := newSilentRun(t)
+	s.engine.UpdateWorkers(s.others, s.expiry)
+	s.engine.SetListIncomplete(true)
+	now := s.expiry.Add(2 * time.Second)
+	is.Equal(len(startAll(s.engine, now)), 0)
+	s.engine.UpdateWorkers(append(s.others, testWorker(s.run.Worker, "r1-1")), now)
+	s.reportDone(now)
+	is.Equal(s.state(), jobs.StateDone)
+	is.Equal(len(startAll(s.engine, now)), 0)
+}
+
+// Guards against a run that is never over while the list stays incomplete, and one that waits on after
+// the list is complete.
+func TestWaitForACompleteListIsBounded(t *testing.T) {
+	for _, complete := range []bool{false, true} {
+		is := is.New(t)
+		s := newSilentRun(t)
+		s.engine.UpdateWorkers(s.others, s.expiry)
+		s.engine.SetListIncomplete(true)
+		is.Equal(len(startAll(s.engine, s.expiry.Add(maxEndWait-time.Second))), 0)
+		s.engine.SetListIncomplete(!complete)
+		overAt := s.expiry.Add(maxEndWait)
+		if complete {
+			overAt = s.expiry.Add(maxEndWait - time.Second/2)
+		}
+		is.Equal(len(startAll(s.engine, overAt)), 1)
+	}
+}
