The test of a dead member waits for both stops before the workers go on

Cause: a race in the test, no fault of the product. The test took a gang for running as soon as its start was recorded, before any worker was asked to start, and let both paused workers go on once the one gang had ended. Where the second gang's start call was still in flight at the pause, that call fails after half a lease (1 s in the failing log: placed .942, run_stopped .994 a second later), while the other gang, already running, is given up only after three quarters of a lease without an answer: its worker went on before, its lease was still valid, and the run ended by itself. Two runs, rightly.

Ruled out by a trace: that a gang that may be repeated is noticed later. With all eight tasks at work before the pause, 15 traces beside 6 busy processes gave 1068 to 1504 ms for the one and 1068 to 1504 ms for the other; 11 pairs within 1 ms, the others one tick apart or two, in both directions. `gangs` treats the two alike once they run.

Change: the test waits until the tasks execute on the workers, pauses, waits for both stops in the time line, and only then lets the workers go on. It is as strict: three runs. The worker of the stand-in can be told that no task ends by itself (never_end), so that the first run can't end before the pause however slow the machine is.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -266,25 +266,29 @@
 func TestADeadMemberStopsTheRestAndTheGangRunsAgain(t *testing.T) {
 	is := is.New(t)
 	s := newSystem(t, 2, 1, 8)
-	wear, _ := s.submit(s.instances[0], service.JobRequest{Workspace: "a", Class: "wear", Key: "w", Shape: gang4x8, Payload: "run_ms=3000"})
+	s.setWorkerFaults(standin.WorkerFaults{NeverEnd: true}) // the first run must not end before its member is lost
+	wear, _ := s.submit(s.instances[0], service.JobRequest{Workspace: "a", Class: "wear", Key: "w", Shape: gang4x8, Payload: "run_ms=300"})
 	survey, _ := s.submit(s.instances[0], service.JobRequest{Workspace: "b", Class: "survey", Key: "s", Shape: gang4x8, Payload: "forever"})
-	var members []structs.Member
-	eventually(t, "both gangs run", func() bool {
-		members = s.jobState(s.instances[0], wear.ID).Members
-		return len(members) == 4 && s.jobState(s.instances[0], survey.ID).Phase == ledger.JobRunning
-	})
-	lost := s.jobState(s.instances[0], survey.ID).Members[1].Worker
+	s.waitTasksExecute(wear.ID, 4)
+	s.waitTasksExecute(survey.ID, 4)
+	leader := s.leader() // reads the members of a run before it starts any task
+	lostOfSurvey := s.jobState(leader, survey.ID).Members[1].Worker
+	lostOfWear := s.jobState(leader, wear.ID).Members[2].Worker
 	for _, p := range s.workers {
-		if p.name == lost || p.name == members[2].Worker {
+		if p.name == lostOfSurvey || p.name == lostOfWear {
 			p.signal(syscall.SIGSTOP)
 		}
 	}
+	for _, id := range []string{wear.ID, survey.ID} {
+		eventually(t, "the loss stops the run of "+id, func() bool { return s.anyEvent("run_stopped", id, string(structs.ReasonMemberLost)) })
+	}
 	eventually(t, "the gang that must not be repeated ends as unknown", func() bool {
 		return s.jobState(s.instances[1], survey.ID).Outcome == structs.OutcomeUnknown
 	})
 	for _, p := range s.workers {
 		p.signal(syscall.SIGCONT)
 	}
+	s.setWorkerFaults(standin.WorkerFaults{})
 	eventually(t, "the other gang runs again", func() bool { return s.jobState(s.instances[1], wear.ID).Outcome == structs.OutcomeRan })
 	is.Equal(len(s.intervalsByRun()), 3) // two runs of the first gang, one of the second
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -30,6 +30,7 @@
 	FailAll      bool          `json:"fail_all"`      // every task fails immediately
 	RefuseStart  bool          `json:"refuse_start"`  // refuses to start tasks
 	NoCheckpoint bool          `json:"no_checkpoint"` // checkpoints never succeed
+	NeverEnd     bool          `json:"never_end"`     // no task ends by itself until the fault is cleared
 	Checkpoint   time.Duration `json:"checkpoint"`    // duration of a checkpoint
 }
 
@@ -131,7 +132,8 @@
 		return
 	}
 	limit := l.expiry
-	if !l.endsAt.IsZero() && l.endsAt.Before(limit) && !now.Before(l.endsAt) && (l.stopAt.IsZero() || l.endsAt.Before(l.stopAt)) {
+	endsByItself := !l.endsAt.IsZero() && !w.faults.NeverEnd
+	if endsByItself && l.endsAt.Before(limit) && !now.Before(l.endsAt) && (l.stopAt.IsZero() || l.endsAt.Before(l.stopAt)) {
 		l.task.Phase = worker.TaskFinished
 		if l.fails {
 			l.task.Phase = worker.TaskFailed
