Tests that disturb processes wait for what they rely on, not for a time

Every test of `e2e` and `balancer` that signals, pauses, kills or cuts was looked at for what it takes to have happened by then.

Mended: - TestKillAndRetryElsewhereNeverDoubles: slept 200 ms around the faults and asserted that some request had run. Now further requests must run before the kill, after it, and after the freeze (20 each; stricter than one in all). - TestRefusalsOfAKilledInstanceAreWrittenByOthers: slept 1.5 s for the copies. Waits until both other instances have one; the time line shows it (copies_stored, once per sender and stream; a new event). - TestPlannedStopsUnderLoadCutNothing: stopped instances 400 ms after the record of the start. Waits until the tasks execute and requests run before each stop; the run can't end before both stops are over. - TestKillOfThePlacingInstanceKeepsTheGang: killed entry-0, taken for the leader, right after the record of the start, with start calls in flight. Waits for the tasks on all four workers and kills the leader of the term. - TestRequestsAndGangsEndDespiteKillOfIdleInstance: the killed instance is one that doesn't lead; the replay waits until the answer is recorded. - TestPlatformFollowsItsSettingsWithoutASignal: wrote two changes one after the other and wanted both adopted at once. Writes them at once. - All tests of `serve`: a lease of 2 s and a term timeout of 1 s, a third of the defaults, made each pause of a busy machine of 1 to 1.5 s a change of the leader or a lost run; seen once (term changed 1.5 s after the kill of an idle instance, a finished run then unknown). They run on the defaults.

TestPlatformStartsWorkBesideTasksWithLostWorkers relies on tasks of 7 s that still run 3.7 s after their start: 3.3 s of slack, left, as longer tasks would report less progress and so test something else (tried, taken back). `balancer` starts no process and reads no clock: nothing there.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -13,21 +13,20 @@
 
 	"github.com/teaselcleat/teaselcleat/adapters/fronthttp"
 	"github.com/teaselcleat/teaselcleat/ledger"
+	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/service"
 	"github.com/teaselcleat/teaselcleat/standin"
 	"github.com/teaselcleat/teaselcleat/structs"
 )
 
 // sendRequests sends requests of one class from several clients until done is closed, each under
-// its own key. The returned function waits for the clients and returns the results by key.
-func (s *system) sendRequests(class, prefix string, clients int, done <-chan struct{}) func() map[string]callResult {
-	var mu sync.Mutex
-	results := map[string]callResult{}
-	var wg sync.WaitGroup
+// its own key.
+func (s *system) sendRequests(class, prefix string, clients int, done <-chan struct{}) *requestLoad {
+	load := &requestLoad{t: s.t, results: map[string]callResult{}}
 	for client := range clients {
-		wg.Add(1)
+		load.clients.Add(1)
 		go func() {
-			defer wg.Done()
+			defer load.clients.Done()
 			for n := 0; ; n++ {
 				select {
 				case <-done:
@@ -36,19 +35,51 @@
 				}
 				live := s.liveInstances()
 				key := fmt.Sprintf("%s-%d-%d", prefix, client, n)
-				result := s.request(live[(client+n)%len(live)], class, key, key)
-				mu.Lock()
-				results[key] = result
-				mu.Unlock()
+				load.add(key, s.request(live[(client+n)%len(live)], class, key, key))
 			}
 		}()
 	}
-	return func() map[string]callResult {
-		wg.Wait()
-		return results
+	return load
+}
+
+// requestLoad is the load of the clients that sendRequests started.
+type requestLoad struct {
+	t       testing.TB
+	clients sync.WaitGroup
+	mu      sync.Mutex
+	results map[string]callResult // by key
+	ran     int                   // requests that ended as ran
+}
+
+func (l *requestLoad) add(key string, result callResult) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results[key] = result
+	if result.outcome == structs.OutcomeRan {
+		l.ran++
 	}
 }
 
+func (l *requestLoad) ranCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ran
+}
+
+// waitMoreRan waits until further requests have ended as ran.
+func (l *requestLoad) waitMoreRan() {
+	l.t.Helper()
+	const furtherRequests = 20
+	wanted := l.ranCount() + furtherRequests
+	eventually(l.t, "further requests run", func() bool { return l.ranCount() >= wanted })
+}
+
+// wait waits for the clients and returns their results by key.
+func (l *requestLoad) wait() map[string]callResult {
+	l.clients.Wait()
+	return l.results
+}
+
 // checkOutcomes compares the results of callers with the executions of the runners.
 func (s *system) checkOutcomes(results map[string]callResult) {
 	s.t.Helper()
@@ -75,21 +106,19 @@
 		s.postJSON(runner, "/control", standin.RunnerFaults{Work: 20 * time.Millisecond})
 	}
 	done := make(chan struct{})
-	wait := s.sendRequests("flow", "k", 6, done)
-	time.Sleep(200 * time.Millisecond)
+	load := s.sendRequests("flow", "k", 6, done)
+	load.waitMoreRan()
 	s.instances[0].kill()
-	time.Sleep(200 * time.Millisecond)
+	load.waitMoreRan()
 	s.instances[1].signal(syscall.SIGSTOP)
 	time.Sleep(300 * time.Millisecond)
 	s.instances[1].signal(syscall.SIGCONT)
-	time.Sleep(200 * time.Millisecond)
+	load.waitMoreRan()
 	close(done)
-	results := wait()
+	results := load.wait()
 	s.checkOutcomes(results)
-	ran := 0
 	for key, result := range results {
 		if result.outcome == structs.OutcomeRan {
-			ran++
 			continue
 		}
 		retried := s.request(s.instances[2], "flow", key, key) // the caller retries the same key elsewhere
@@ -100,7 +129,6 @@
 		results[key] = result
 	}
 	s.checkOutcomes(results)
-	is.True(ran > 0)
 }
 
 // While the log is down, requests that are not idempotent and new gangs must be refused as not run,
@@ -146,7 +174,11 @@
 	eventually(t, "a refusal for the outage", func() bool {
 		return s.request(s.instances[0], "flow", "dying", "x").reason == structs.ReasonLogUnavailable
 	})
-	time.Sleep(1500 * time.Millisecond) // at least two heartbeats, which copy the refusal to other instances
+	for _, p := range s.instances[1:] {
+		eventually(t, p.name+" has a copy of the refusal", func() bool {
+			return p.hasEvent("copies_stored", s.instances[0].name, logstream.StreamRefusals)
+		})
+	}
 	s.instances[0].kill()
 	s.setPlatformFaults(standin.PlatformFaults{})
 	eventually(t, "another instance writes the refusal", func() bool {
@@ -222,18 +254,20 @@
 	for _, runner := range s.runners {
 		s.postJSON(runner, "/control", standin.RunnerFaults{Work: 300 * time.Millisecond})
 	}
-	reply, _ := s.submit(s.instances[0], service.JobRequest{Workspace: "a", Class: "survey", Key: "long", Shape: gang4x8, Payload: "run_ms=4000"})
-	eventually(t, "the gang runs", func() bool { return s.jobState(s.instances[0], reply.ID).Phase == ledger.JobRunning })
+	s.setWorkerFaults(standin.WorkerFaults{NeverEnd: true}) // the run must last through both stops
+	reply, _ := s.submit(s.instances[0], service.JobRequest{Workspace: "a", Class: "survey", Key: "long", Shape: gang4x8, Payload: "run_ms=300"})
+	s.waitTasksExecute(reply.ID, 4)
 	done := make(chan struct{})
-	wait := s.sendRequests("flow", "k", 6, done)
+	load := s.sendRequests("flow", "k", 6, done)
 	for n := range 2 {
-		time.Sleep(400 * time.Millisecond)
+		load.waitMoreRan()
 		is.Equal(s.instances[n].terminate(), 0) // a clean drain
 		s.addReadyInstance(fmt.Sprintf("next-%d", n))
 		s.waitReady()
 	}
+	s.setWorkerFaults(standin.WorkerFaults{})
 	close(done)
-	results := wait()
+	results := load.wait()
 	s.checkOutcomes(results)
 	for key, result := range results {
 		interrupted := result.err == nil && result.outcome == structs.OutcomeUnknown
@@ -251,9 +285,10 @@
 	is := is.New(t)
 	s := newSystem(t, 3, 1, 8)
 	survey, _ := s.submit(s.instances[2], service.JobRequest{Workspace: "a", Class: "survey", Key: "s", Shape: gang4x8, Payload: "run_ms=3500"})
-	eventually(t, "the gang runs", func() bool { return s.jobState(s.instances[0], survey.ID).Phase == ledger.JobRunning })
-	s.instances[0].kill() // the first instance by name is the leader
-	eventually(t, "the gang ends", func() bool { return s.jobState(s.instances[1], survey.ID).Phase == ledger.JobEnded })
+	s.waitTasksExecute(survey.ID, 4)
+	s.leader().kill()
+	remaining := s.liveInstances()[0]
+	eventually(t, "the gang ends", func() bool { return s.jobState(remaining, survey.ID).Phase == ledger.JobEnded })
 	runs := s.intervalsByRun()
 	is.Equal(len(runs), 1) // at most one run, however it ended
 	for _, intervals := range runs {
--- a/e2e/requests_test.go
+++ b/e2e/requests_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/teaselcleat/teaselcleat/adapters/fronthttp"
 	"github.com/teaselcleat/teaselcleat/ledger"
 	"github.com/teaselcleat/teaselcleat/service"
 	"github.com/teaselcleat/teaselcleat/structs"
@@ -19,21 +21,28 @@
 func TestRequestsAndGangsEndDespiteKillOfIdleInstance(t *testing.T) {
 	is := is.New(t)
 	s := newSystem(t, 3, 3, 8)
+	leader := s.leader()
+	others := slices.DeleteFunc(s.liveInstances(), func(p *process) bool { return p == leader })
+	other, idle := others[0], others[1]
 	for _, class := range []string{"surge", "flow"} {
-		result := s.request(s.instances[0], class, "k-"+class, "station 12")
+		result := s.request(leader, class, "k-"+class, "station 12")
 		is.NoErr(result.err)
 		is.Equal(result.outcome, structs.OutcomeRan)
 		is.Equal(result.body, "done:station 12")
 	}
-	reply, status := s.submit(s.instances[0], service.JobRequest{Workspace: "a", Class: "wear", Key: "w1", Shape: gang4x8, Payload: "run_ms=300"})
+	reply, status := s.submit(leader, service.JobRequest{Workspace: "a", Class: "wear", Key: "w1", Shape: gang4x8, Payload: "run_ms=300"})
 	is.Equal(status, http.StatusAccepted)
-	survey, _ := s.submit(s.instances[1], service.JobRequest{Workspace: "b", Class: "survey", Key: "s1", Shape: structs.Shape{Members: 2, Accelerators: 4}, Payload: "run_ms=300"})
-	s.instances[2].kill()
+	survey, _ := s.submit(other, service.JobRequest{Workspace: "b", Class: "survey", Key: "s1", Shape: structs.Shape{Members: 2, Accelerators: 4}, Payload: "run_ms=300"})
+	idle.kill()
 	for _, id := range []string{reply.ID, survey.ID} {
-		eventually(t, "job ends", func() bool { return s.jobState(s.instances[1], id).Phase == ledger.JobEnded })
-		is.Equal(s.jobState(s.instances[0], id).Outcome, structs.OutcomeRan)
+		eventually(t, "job ends", func() bool { return s.jobState(other, id).Phase == ledger.JobEnded })
+		is.Equal(s.jobState(leader, id).Outcome, structs.OutcomeRan)
 	}
-	replayed := s.request(s.instances[1], "flow", "k-flow", "station 12")
+	eventually(t, "the answer is recorded", func() bool {
+		state, err := getJSON[fronthttp.KeyBody](t, other, "/v1/keys/a/k-flow")
+		return err == nil && state.Phase == ledger.KeyRan
+	})
+	replayed := s.request(other, "flow", "k-flow", "station 12")
 	is.Equal(replayed.outcome, structs.OutcomeRan) // the stored answer, read at another instance
 	is.Equal(replayed.body, "done:station 12")
 	is.Equal(s.executions()["k-flow"], 1)
--- a/e2e/settings_test.go
+++ b/e2e/settings_test.go
@@ -8,17 +8,20 @@
 	"testing"
 )
 
-// rewriteSettings replaces a text in an instance's settings file without sending a signal.
-func (f *fleet) rewriteSettings(instance *frontInstance, old, replacement string) {
+// rewriteSettings replaces texts in an instance's settings file at once, without sending a
+// signal. The texts are pairs of an old and a new one.
+func (f *fleet) rewriteSettings(instance *frontInstance, oldnew ...string) {
 	f.t.Helper()
 	content, err := os.ReadFile(instance.settingsPath)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	changed := strings.ReplaceAll(string(content), old, replacement)
-	if changed == string(content) {
-		f.t.Fatalf("%q is not in the settings", old)
+	for index := 0; index < len(oldnew); index += 2 {
+		if !strings.Contains(string(content), oldnew[index]) {
+			f.t.Fatalf("%q is not in the settings", oldnew[index])
+		}
 	}
+	changed := strings.NewReplacer(oldnew...).Replace(string(content))
 	newPath := instance.settingsPath + ".new"
 	if err := os.WriteFile(newPath, []byte(changed), 0o600); err != nil {
 		f.t.Fatal(err)
@@ -39,8 +42,8 @@
 	newServer := httptest.NewServer(f.store)
 	t.Cleanup(newServer.Close)
 	for _, instance := range f.instances {
-		f.rewriteSettings(instance, f.storeAddr, strings.TrimPrefix(newServer.URL, "http://"))
-		f.rewriteSettings(instance, `"max_hold_ms":6000`, `"max_hold_ms":4000`)
+		f.rewriteSettings(instance, f.storeAddr, strings.TrimPrefix(newServer.URL, "http://"),
+			`"max_hold_ms":6000`, `"max_hold_ms":4000`)
 	}
 	f.storeServer.CloseClientConnections()
 	f.storeServer.Listener.Close()
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -29,7 +29,7 @@
 	waitTimeout    = 30 * time.Second // bound on every wait; no test asserts a shorter time
 	pollInterval   = 20 * time.Millisecond
 	testTargets    = "[class \"wear\"]\nfinish_within = 8h\nidempotent = true\n[class \"survey\"]\nfinish_within = 8h\nidempotent = false\n[class \"surge\"]\nfinish_within = 20s\nidempotent = true\n[class \"flow\"]\nfinish_within = 60s\nidempotent = false\n[workspace \"a\"]\nguarantee = 1x8\n[workspace \"b\"]\n"
-	instanceINI    = "[instance]\nname = %s\nregion = r1\navailability_zone = z1\nhttp = 127.0.0.1:0\npeer = 127.0.0.1:0\n[platform]\naddress = http://%s\n[timing]\nlease_ttl = 2s\nterm_timeout = 1s\nsnapshot_every = 200ms\n"
+	instanceINI    = "[instance]\nname = %s\nregion = r1\navailability_zone = z1\nhttp = 127.0.0.1:0\npeer = 127.0.0.1:0\n[platform]\naddress = http://%s\n[timing]\nsnapshot_every = 200ms\n"
 	workersPerRack = 4
 )
 
--- a/instance/peersync.go
+++ b/instance/peersync.go
@@ -132,10 +132,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	source := origin{envelope.GetSender(), envelope.GetBoot(), pending.GetStream()}
-	if _, exists := s.copies[source]; !exists && len(s.copies) >= maxCopyOrigins {
+	_, exists := s.copies[source]
+	if !exists && len(s.copies) >= maxCopyOrigins {
 		return
 	}
 	s.copies[source] = pending.GetRecords()
+	if !exists {
+		s.instance.events.Add("copies_stored", source.instance, "", source.stream)
+	}
 }
 
 func (s *peerSync) snapshotReply() *peerpb.Envelope {
