The state of other instances is taken per stream, not by the ledger alone

The targets are a stream of their own: an instance that started while the log was down could take the older targets from the instance with the newer ledger, or, with equal ledgers, those of the first by name.

Also removed: `Instance.restored`, which nothing read.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -61,7 +61,6 @@
 	placer        *placer
 	refusals      *refusalLog
 
-	restored      atomic.Bool  // a snapshot was restored at start, or none exists
 	snapshotAgeMS atomic.Int64 // age of the snapshot of a peer that was restored at start; 0 if none was
 	draining      atomic.Bool
 	inFlight      atomic.Int64
--- a/instance/streams.go
+++ b/instance/streams.go
@@ -39,13 +39,11 @@
 		snapshot, err := i.newestSnapshot(ctx)
 		if err == nil {
 			i.restore(snapshot, "log")
-			i.restored.Store(true)
 			return true
 		}
 		if peer := i.peerSnapshot(); peer != nil && (peer.LedgerNext > 0 || peer.TargetsNext > 0) {
 			i.snapshotAgeMS.Store(max(1, i.now().UnixMilli()-peer.AtMS))
 			i.restore(peer, "peer")
-			i.restored.Store(true)
 			return true
 		}
 		logstream.Sleep(ctx, restoreInterval)
@@ -81,10 +79,10 @@
 	return assembler.Newest(), err
 }
 
-// peerSnapshot requests the state of each connected instance and returns the one with
-// the highest ledger offset.
+// peerSnapshot requests the state of each connected instance and returns the newest ledger
+// and the newest targets among them.
 func (i *Instance) peerSnapshot() *ledger.Snapshot {
-	var best *ledger.Snapshot
+	var newest *ledger.Snapshot
 	for _, name := range i.link.Connected() {
 		reply, err := i.link.Request(name, &peerpb.Envelope{Body: &peerpb.Envelope_SnapshotRequest{SnapshotRequest: &peerpb.SnapshotRequest{}}})
 		if err != nil || reply.GetSnapshotReply() == nil {
@@ -94,11 +92,9 @@
 		if err != nil {
 			continue
 		}
-		if best == nil || snapshot.LedgerNext > best.LedgerNext {
-			best = snapshot
-		}
+		newest = ledger.Newest(newest, snapshot)
 	}
-	return best
+	return newest
 }
 
 // recoverGaps restores a newer snapshot when retention removed records before this
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"encoding/json"
 	"hash/crc32"
@@ -84,6 +85,29 @@
 	}
 }
 
+// Newest returns the newer ledger and the newer targets of two snapshots, which may be nil. The
+// streams advance on their own, so neither snapshot has to be the newer one in both. The time is
+// that of the older snapshot that is used.
+func Newest(a, b *Snapshot) *Snapshot {
+	if a == nil || b == nil {
+		return cmp.Or(a, b)
+	}
+	ledger, targets := a, a
+	if b.LedgerNext > a.LedgerNext {
+		ledger = b
+	}
+	if b.TargetsNext > a.TargetsNext {
+		targets = b
+	}
+	newest := *ledger
+	newest.AtMS = min(ledger.AtMS, targets.AtMS)
+	newest.TargetsNext = targets.TargetsNext
+	newest.TargetsVersion = targets.TargetsVersion
+	newest.TargetsDocument = targets.TargetsDocument
+	newest.TargetsLastID = targets.TargetsLastID
+	return &newest
+}
+
 // Encode encodes a snapshot as compressed JSON.
 func Encode(snapshot *Snapshot) ([]byte, error) {
 	var buffer bytes.Buffer
