A short grace period leaves the calls in progress some of it

Cause: a stopping instance waited for its calls for half of the grace period less 700 ms. With `grace_s` 1 that is less than nothing: `Shutdown` got a context that had expired and returned at once, with calls in progress cut.

Change: the reserve takes at most half of that half (`callTimeout`). From 2.8 s on nothing changes; 2 s (the end-to-end tests) leaves calls 500 ms in place of 300, 1 s leaves 250 in place of none.

--- a/command/front.go
+++ b/command/front.go
@@ -31,8 +31,8 @@
 	// platform's load balancer checks once a second and removes an instance after two failed
 	// checks.
 	loadBalancerRemovalDelay = 2500 * time.Millisecond
-	// shutdownReserve is the part of the grace period that is left after the wait for calls,
-	// to stop the relay and the instance and to close the servers; see stop.
+	// shutdownReserve is the longest part of the grace period that is left after the wait for calls,
+	// to stop the relay and the instance and to close the servers; see callTimeout.
 	shutdownReserve = 700 * time.Millisecond
 	// readTimeout bounds the reading of a request with its body, idleTimeout an idle
 	// connection of a caller.
@@ -220,7 +220,7 @@
 func (p *frontProcess) stop() {
 	p.instance.Drain()
 	time.Sleep(min(loadBalancerRemovalDelay, p.settings.GracePeriod/2))
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GracePeriod/2-shutdownReserve)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout(p.settings.GracePeriod))
 	defer cancel()
 	if err := p.front.Shutdown(ctx); err != nil {
 		p.log.WithField("error", err.Error()).Warn("calls_cut")
