Questions and cancellations are told to retry by the priority of their queue

Cause: `Cancel` and `State` computed Retry-After with priority 0. In the first two seconds of an outage the callers of jobs that aren't urgent were told one second, at which four retries are over before the store is back; submissions of the same queue were told two.

Change: both take the priority of the queue that the call names; the front knows it, also for jobs that this instance has not read (the one case in which a question gets a time at all).

Ruled out: to take it from the job as read; an instance that knows the job answers the question from it and needs no time.

TestQuestionsAndCancellationsRetryByPriority fails without the change (1 s, not 2 s).

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -179,9 +179,9 @@
 	outcome := instance.Submit(context.Background(), &jobs.Submission{ID: "x", Steps: []jobs.Step{{Tasks: 1}}})
 	is.Equal(outcome.Verdict, NotRun)
 	is.True(outcome.RetryAfter > 0)
-	_, outcome = instance.State(context.Background(), "x")
+	_, outcome = instance.State(context.Background(), "x", 0)
 	is.Equal(outcome.Verdict, Unavailable)
-	is.Equal(instance.Cancel(context.Background(), "x").Verdict, Unavailable)
+	is.Equal(instance.Cancel(context.Background(), "x", 0).Verdict, Unavailable)
 	is.True(!instance.Ready())
 }
 
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -38,7 +38,7 @@
 	isolatedRetryAfter = 100 * time.Millisecond
 	// earlyOutageRetryAfter replaces storeDownRetryAfter in the first earlyOutageDuration of an
 	// outage, for jobs that are not urgent: their objective leaves time, and four retries a second
-	// apart would be over before the store is back.
+	// apart would be over before the store is back. This holds for questions and cancellations too.
 	earlyOutageRetryAfter = 2 * time.Second
 	earlyOutageDuration   = 2 * time.Second
 	// maxStateAge is the age up to which the cached state of a job is returned without reading the
@@ -96,7 +96,7 @@
 	return retryDelayFor(priority, i.work.sinceContact(), i.peers.isIsolated())
 }
 
-// retryDelayFor returns the delay after which the caller of a refused submission should retry.
+// retryDelayFor returns the delay after which the caller of a refused call should retry.
 func retryDelayFor(priority int, outage time.Duration, isolated bool) time.Duration {
 	if isolated {
 		return isolatedRetryAfter
@@ -107,15 +107,15 @@
 	return storeDownRetryAfter
 }
 
-// Cancel cancels a job.
-func (i *Instance) Cancel(ctx context.Context, id string) Outcome {
-	outcome := i.cancelJob(ctx, id)
+// Cancel cancels a job of a queue with the given priority.
+func (i *Instance) Cancel(ctx context.Context, id string, priority int) Outcome {
+	outcome := i.cancelJob(ctx, id, priority)
 	i.logOutcome("cancel", id, outcome)
 	return outcome
 }
 
-func (i *Instance) cancelJob(ctx context.Context, id string) Outcome {
-	state, outcome := i.lookUpState(ctx, id, 0)
+func (i *Instance) cancelJob(ctx context.Context, id string, priority int) Outcome {
+	state, outcome := i.lookUpState(ctx, id, priority, 0)
 	if outcome.Verdict != Accepted {
 		return outcome
 	}
@@ -124,7 +124,7 @@
 	}
 	err := i.writeRecord(ctx, jobs.CancelRecord(id))
 	if errors.Is(err, ErrNotApplied) {
-		return Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: i.retryDelay(0)}
+		return Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: i.retryDelay(priority)}
 	}
 	if err != nil {
 		return Outcome{Verdict: Undecided, Reason: err.Error(), RetryAfter: storeDownRetryAfter}
@@ -132,9 +132,9 @@
 	return Outcome{Verdict: Accepted, Reason: "stored"}
 }
 
-// State returns the state of a job.
-func (i *Instance) State(ctx context.Context, id string) (jobs.State, Outcome) {
-	state, outcome := i.lookUpState(ctx, id, finalStateWait)
+// State returns the state of a job of a queue with the given priority.
+func (i *Instance) State(ctx context.Context, id string, priority int) (jobs.State, Outcome) {
+	state, outcome := i.lookUpState(ctx, id, priority, finalStateWait)
 	if state.Final() && i.markReported(id) {
 		i.eventLog.write(i.log, "state_told", logrus.Fields{"job": id, "state": string(state), "log_age_ms": ageMS(i.clock.Now(), i.work.lastAnswer())})
 	}
@@ -156,7 +156,7 @@
 
 // lookUpState returns the state of a job, read by this instance or, while it does not reach the
 // store, by another one. It waits up to wait for a final state. A cached final state is always valid.
-func (i *Instance) lookUpState(ctx context.Context, id string, wait time.Duration) (jobs.State, Outcome) {
+func (i *Instance) lookUpState(ctx context.Context, id string, priority int, wait time.Duration) (jobs.State, Outcome) {
 	if i.isLoaded() && i.work.isReachable() {
 		return i.localState(ctx, id, wait)
 	}
@@ -174,7 +174,7 @@
 	case ok:
 		return cached, Outcome{Verdict: Accepted, Reason: "as known before the store was lost"}
 	}
-	return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: i.retryDelay(0)}
+	return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: i.retryDelay(priority)}
 }
 
 // localState returns the state of a job as this instance reads it. Unless the state is final, the
--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -76,7 +76,7 @@
 			store.add(jobs.StateRecord("a1", jobs.StateDone))
 		}()
 		begin := time.Now()
-		state, outcome := instance.State(t.Context(), "a1")
+		state, outcome := instance.State(t.Context(), "a1", 0)
 		is.Equal(outcome.Verdict, Accepted)
 		is.Equal(state, jobs.StateDone)
 		is.True(time.Since(begin) < 30*time.Millisecond)
@@ -91,7 +91,7 @@
 		store := &tailStore{}
 		instance := newLoadedInstance(t, store, "a1")
 		begin := time.Now()
-		state, outcome := instance.State(t.Context(), "a1")
+		state, outcome := instance.State(t.Context(), "a1", 0)
 		is.Equal(outcome.Verdict, Accepted)
 		is.True(!state.Final())
 		is.True(time.Since(begin) >= finalStateWait-time.Millisecond)
@@ -99,7 +99,7 @@
 		is.True(store.reads <= 3)
 		instance.work.failures = unreachableFailures
 		begin = time.Now()
-		_, outcome = instance.State(t.Context(), "a1")
+		_, outcome = instance.State(t.Context(), "a1", 0)
 		is.Equal(outcome.Verdict, Accepted)
 		is.True(time.Since(begin) < time.Millisecond)
 	})
@@ -127,3 +127,18 @@
 		is.NoErr(ctx.Err()) // leaderDuty returned before the timeout
 	})
 }
+
+// Guards against questions and cancellations that are told to retry as if every job were urgent:
+// their callers would give up before the store is back.
+func TestQuestionsAndCancellationsRetryByPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		instance := New(Settings{Name: "a", StoreParts: 8}, downStore{}, nil, nil, metrics.NewRegistry(), discardLog())
+		instance.work.recordAnswer(instance.clock.Now()) // the outage begins
+		for priority, want := range []time.Duration{storeDownRetryAfter, earlyOutageRetryAfter, earlyOutageRetryAfter} {
+			_, outcome := instance.State(t.Context(), "x", priority)
+			is.Equal(outcome.RetryAfter, want)
+			is.Equal(instance.Cancel(t.Context(), "x", priority).RetryAfter, want)
+		}
+	})
+}
