A long-running task that has worked for 30 s is cleared of all losses

Cause, found on the way and worse than noted: the clearing after `longRunningProof` came after the condition for other tasks (twice the longest time at work before a loss). A task that had worked for ten hours before it lost its worker had to work for twenty to be cleared, so that five losses far apart, each under a healthy run, failed its job.

Change: thirty seconds of work clear a long-running task, whatever was before.

The fault as noted, five losses in a row each before 30 s of work, stays, and is none: such a task can't be told from one that crashes its workers, and the users want that one given up (a task under which two workers crashed may be; one that goes on is started at most twice after the third, which an exception would break). "long-running task" of TestTaskThatEndsItsWorkersIsGivenUp holds it.

TestLastingTaskIsClearedOfLossesFarApart fails without the change.

--- a/placing/long_running_test.go
+++ b/placing/long_running_test.go
@@ -132,3 +132,23 @@
 	}
 	is.Equal(c.engine.nodes[worker].paceControl.allowedPercent(), fullPace)
 }
+
+// Guards against failing a long-running job for workers lost over weeks: runs that outlive
+// longRunningProof, but not twice the longest one before them.
+func TestLastingTaskIsClearedOfLossesFarApart(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(3)
+	c.submit(testJob(hexID(1), 1, longRunningStep(1)))
+	task := c.engine.jobs[hexID(1)].allTasks()[0]
+	for range 2 * maxLosses {
+		c.steps(60)
+		is.True(task.run != nil)
+		worker := task.run.node.entry.ID
+		c.now = c.now.Add(longRunningProof + time.Hour)
+		c.reportLoad(worker, 0)
+		is.Equal(task.losses.total, 0)
+		c.loseWorker(worker)
+		is.Equal(task.losses.total, 1)
+	}
+	is.Equal(c.engine.jobs[hexID(1)].state, jobs.StateRunning)
+}
--- a/placing/loss.go
+++ b/placing/loss.go
@@ -177,11 +177,12 @@
 		return
 	}
 	worked := now.Sub(run.startedAt)
-	if worked < max(earlyLossWindow, clearLossesFactor*losses.longestWork) {
+	proven := run.task.step.spec.LongRunning && worked >= longRunningProof
+	if !proven && worked < max(earlyLossWindow, clearLossesFactor*losses.longestWork) {
 		return
 	}
 	losses.early = 0
-	if worked >= longRunningProof && run.task.step.spec.LongRunning {
+	if proven {
 		losses.total = 0
 	}
 	if losses != run.task.losses {
