Waiters of submissions and proposals are unregistered when their calls end

Cause: a call that gave up (timeout, caller gone, full writer) left its waiter in the replica until the record was read; a record that was never appended (the writer drops those of finished calls) left it for ever.

Change: both registrations return an unregister, as that of claims does, and the calls run it at their end.

TestWaitersOfAbandonedCallsAreForgotten; without the change there is nothing to call, so it does not compile there.

--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -35,7 +35,8 @@
 	if existing := i.replica.Job(job.ID); existing != nil {
 		return i.replyToDuplicate(request, job, existing)
 	}
-	results := i.replica.RegisterSubmitWaiter(job.ID)
+	results, unregister := i.replica.RegisterSubmitWaiter(job.ID)
+	defer unregister()
 	finished := make(chan struct{})
 	defer close(finished)
 	if !i.appendRecord(&structs.Record{Kind: structs.RecordSubmit, Submit: job}, isClosed(finished)) {
@@ -216,7 +217,8 @@
 		}
 	}
 	id := i.newID()
-	decisions := i.replica.RegisterProposalWaiter(id)
+	decisions, unregister := i.replica.RegisterProposalWaiter(id)
+	defer unregister()
 	data, err := json.Marshal(structs.Proposal{ID: id, Base: proposal.Version, Document: proposal.Text, AtMS: i.now().UnixMilli()})
 	if err != nil {
 		return refuse(structs.ReasonInvalidTargets, err.Error())
