A withdrawn run is recorded with its cause

Cause: `gangs` wrote reserve_refused into the stop record of every run that was withdrawn before a task started, also after a cancellation, a preemption, a start record that wasn't read back, or for a run that a former leader never started. Operators read the reason in the job and the time line.

Change: the withdrawal carries its cause as the halt does: the reason of the stop request; log_unavailable for a start that isn't read back; stale_term for one that a former leader reserved and did not start; reserve_refused only for leases that a worker did not confirm in time. Results and records are else the same.

--- a/gangs/coordinator.go
+++ b/gangs/coordinator.go
@@ -127,17 +127,12 @@
 }
 
 // withdraw ends a run of which no task has started. If a start record was appended, a
-// stop record revokes it. The reason of that record is ReasonReserveRefused for every
-// withdrawal, also after a timeout of the record or a cancellation.
-func (c *Coordinator) withdraw(g *gang, failedWorker string, now time.Time) []Action {
-	return c.withdrawWithResult(g, scheduler.RunNotStarted, failedWorker, now)
-}
-
-func (c *Coordinator) withdrawWithResult(g *gang, result scheduler.Result, failedWorker string, now time.Time) []Action {
-	actions := g.releaseLeases(result, failedWorker, now)
+// stop record with the reason of the cause revokes it.
+func (c *Coordinator) withdraw(g *gang, cause haltCause, now time.Time) []Action {
+	actions := g.releaseLeases(cause.result, cause.failedWorker, now)
 	if g.startAppended {
 		actions = append(actions, AppendStop{structs.Stop{Job: g.job, Run: g.run, Term: c.config.Term,
-			Reason: structs.ReasonReserveRefused, NotStarted: true}})
+			Reason: cause.reason, NotStarted: true}})
 	}
 	return actions
 }
@@ -231,10 +226,11 @@
 
 // stopBeforeStart ends a run that receives a stop request before it has started.
 func (c *Coordinator) stopBeforeStart(g *gang, e StopRun, now time.Time) []Action {
+	result := scheduler.RunNotStarted
 	if e.Reason == structs.ReasonCancelled {
-		return c.withdrawWithResult(g, scheduler.RunAborted, "", now)
+		result = scheduler.RunAborted
 	}
-	return c.withdraw(g, "", now)
+	return c.withdraw(g, haltCause{e.Reason, "", result}, now)
 }
 
 // onTick polls workers, ends runs whose current phase timed out, and detects
@@ -251,7 +247,7 @@
 	switch g.phase {
 	case phaseReserving:
 		if now.Sub(g.roundStarted) > c.roundLimit() { // for rounds see reserveAll
-			return c.withdraw(g, g.firstUnacked(), now)
+			return c.withdraw(g, notReserved(g.firstUnacked()), now)
 		}
 	case phaseRecording:
 		return c.tickRecording(g, e, now)
@@ -282,11 +278,11 @@
 	reserved := g.allMembersAcked()
 	switch {
 	case !reserved && now.Sub(g.roundStarted) > c.roundLimit():
-		return c.withdraw(g, g.firstUnacked(), now)
+		return c.withdraw(g, notReserved(g.firstUnacked()), now)
 	case g.startUnrecorded || g.startRecorded:
 		return c.startOrRenew(g, now)
 	case now.Sub(g.phaseStarted) > c.config.RecordTimeout:
-		return c.withdraw(g, "", now)
+		return c.withdraw(g, haltCause{structs.ReasonLogUnavailable, "", scheduler.RunNotStarted}, now)
 	case reserved && now.Sub(g.roundStarted) > c.config.LeaseTTL/2:
 		return g.reserveAll(now)
 	}
--- a/gangs/gang.go
+++ b/gangs/gang.go
@@ -57,7 +57,7 @@
 	result      scheduler.RunEnded // reported to the scheduler after the leases are released
 }
 
-// haltCause describes why a run is halted and what is reported of it.
+// haltCause describes why a run is halted or withdrawn and what is reported of it.
 type haltCause struct {
 	reason       structs.Reason
 	failedWorker string
--- a/gangs/running.go
+++ b/gangs/running.go
@@ -86,7 +86,7 @@
 	}
 	switch {
 	case reserved == len(g.members):
-		return c.withdraw(g, "", now)
+		return c.withdraw(g, haltCause{structs.ReasonStaleTerm, "", scheduler.RunNotStarted}, now)
 	case reserved > 0 && g.allMembersReported():
 		return c.halt(g, haltCause{structs.ReasonMemberLost, "", scheduler.RunLost}, now)
 	case finished == len(g.members):
--- a/gangs/start.go
+++ b/gangs/start.go
@@ -34,7 +34,7 @@
 
 func (c *Coordinator) onReserveEnded(g *gang, m *member, err error, now time.Time) []Action {
 	if err != nil || now.Sub(g.roundStarted) > c.roundLimit() {
-		return c.withdraw(g, m.Worker, now)
+		return c.withdraw(g, notReserved(m.Worker), now)
 	}
 	m.acked = true
 	if !g.allMembersAcked() {
@@ -49,6 +49,11 @@
 	return nil
 }
 
+// notReserved is the cause of a withdrawal after a worker did not confirm its lease in time.
+func notReserved(name string) haltCause {
+	return haltCause{structs.ReasonReserveRefused, name, scheduler.RunNotStarted}
+}
+
 // roundLimit is the time within which all answers of a reservation round must
 // arrive, see reserveAll.
 func (c *Coordinator) roundLimit() time.Duration { return c.config.LeaseTTL / 4 }
