--- a/batch/link.go
+++ b/batch/link.go
@@ -99,14 +99,14 @@
 		}
 		backoff = minHoldBackoff
 		l.env.report(ctx, holdReply{worker: l.worker().ID, report: report, sent: sent, expiry: l.leaseExpiry()})
-		wait = l.awaitAck(ctx, report, wait)
+		wait = l.awaitAck(ctx, report)
 	}
 }
 
 // awaitAck waits until the reported ends are durable or a new report is requested, and returns how
 // long the worker may keep the next hold open: 0 if that hold would bring the same ends. It waits as
 // long as a hold may take: on a congested link lists of the same ends would keep others from arriving.
-func (l *link) awaitAck(ctx context.Context, report HoldReport, waited time.Duration) time.Duration {
+func (l *link) awaitAck(ctx context.Context, report HoldReport) time.Duration {
 	if len(report.Ended) == 0 {
 		return holdWait
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -81,17 +81,16 @@
 
 // Reasons why a record is void.
 const (
-	VoidNone         VoidReason = ""
-	VoidMalformed    VoidReason = "malformed"
-	VoidTaken        VoidReason = "taken"
-	VoidDuplicate    VoidReason = "duplicate"
-	VoidExpired      VoidReason = "expired"
-	VoidFull         VoidReason = "full"
-	VoidNotHolder    VoidReason = "not_holder"
-	VoidWrongPhase   VoidReason = "wrong_phase" // also of a prune that is not newer than the last one
-	VoidMissing      VoidReason = "missing"
-	VoidStaleTerm    VoidReason = "stale_term"
-	VoidMayNotRepeat VoidReason = "may_not_repeat" // no rule of the fold returns it
+	VoidNone       VoidReason = ""
+	VoidMalformed  VoidReason = "malformed"
+	VoidTaken      VoidReason = "taken"
+	VoidDuplicate  VoidReason = "duplicate"
+	VoidExpired    VoidReason = "expired"
+	VoidFull       VoidReason = "full"
+	VoidNotHolder  VoidReason = "not_holder"
+	VoidWrongPhase VoidReason = "wrong_phase" // also of a prune that is not newer than the last one
+	VoidMissing    VoidReason = "missing"
+	VoidStaleTerm  VoidReason = "stale_term"
 )
 
 var valid = Verdict{Valid: true}
--- a/requests/machine.go
+++ b/requests/machine.go
@@ -57,7 +57,6 @@
 	attempts     int
 	maybeSent    bool // bytes of an attempt may have reached a runner
 	triedRunners []string
-	lastAttempt  AttemptEnded
 }
 
 // New returns the machine of a request. claimID must be unique.
@@ -203,7 +202,6 @@
 	if m.phase != phaseSending {
 		return nil
 	}
-	m.lastAttempt = e
 	switch e.Kind {
 	case AttemptAnswered:
 		return m.onAnswered(e, now)
