Orders that are due soon go first, and few are in flight on a full link

Callers saw urgent gangs within their guarantee begin up to 4.5 s after their acceptance on an overloaded leader with a link of 2 Mbit/s. Cause: slots for orders were given by arrival, so starts of a gang waited behind up to 119 others, and 64 orders in flight kept half a second of queue on the link for everything else: stops, polls, appends.

Slots go by class now: starts due within the reclaim time, stops and speed limits, starts of urgent jobs, other starts. The bound on orders in flight falls to 32 while answers take more than 0.1 s and rises with each quicker answer; elsewhere it is 64 as before. Ruled out: polls (2 to 4 KB in half a second against 40 to 110 KB of starts) and the size of groups of records.

TestUrgentOrdersOvertakeOthersThatWait and TestFewOrdersAreInFlightOnAFullLink fail with slots by arrival and with a fixed bound. Starts through delegates have no class on the wire.

A test filled the slots by the semaphore that is gone; it fills them by acquire now, and asserts the same.

--- a/batch/delegation_test.go
+++ b/batch/delegation_test.go
@@ -24,7 +24,7 @@
 		granted = false
 		_, _, err = link.hold(t.Context(), 0)
 		is.Equal(err, errNoGrant)
-		is.Equal(link.sendOnce(t.Context(), nil, func(context.Context) error { return nil }), errNoGrant)
+		is.Equal(link.sendOnce(t.Context(), stopOrders, nil, func(context.Context) error { return nil }), errNoGrant)
 		is.Equal(workers.calls, 1)
 	})
 }
--- a/batch/linkset.go
+++ b/batch/linkset.go
@@ -20,7 +20,7 @@
 	epoch      int64 // fences orders
 	bounds     *bounds
 	startTime  metrics.Histogram
-	orderSlots chan struct{}   // semaphore of the orders in flight
+	orderSlots *orderSlots     // bounds the orders in flight
 	timeout    adaptiveTimeout // of orders
 	// report delivers an answer to the instance on whose behalf the orders are sent; it may block.
 	report func(ctx context.Context, answer event)
@@ -39,7 +39,7 @@
 		epoch:         epoch,
 		bounds:        i.bounds,
 		startTime:     i.metrics.startTime,
-		orderSlots:    make(chan struct{}, maxConcurrentOrders),
+		orderSlots:    newOrderSlots(),
 		timeout:       adaptiveTimeout{minimum: minOrderTimeout},
 		startsAllowed: i.mayStartInZone,
 	}
--- a/batch/order.go
+++ b/batch/order.go
@@ -17,9 +17,6 @@
 	// answers within some milliseconds. Where answers take longer because this instance is slow,
 	// the timeout is four times the usual latency.
 	minOrderTimeout = 300 * time.Millisecond
-	// maxConcurrentOrders bounds the orders in flight. In a slow instance more would only wait until
-	// they time out and are retried.
-	maxConcurrentOrders = 64
 	// maxOrderAttempts is how often an order is sent. A late copy is harmless: the worker answers it
 	// like the first one, or refuses it once the run is over. Nine tenths of a second in all leave a
 	// gang time to become complete; its members wait three seconds for that.
@@ -41,7 +38,7 @@
 func (l *link) startRun(ctx context.Context, order placing.Start, maybeSent bool, withdrawn <-chan struct{}) {
 	defer l.removeStart(order)
 	sent := l.env.clock.Now()
-	unanswered, err := l.sendOrder(ctx, withdrawn, func(ctx context.Context) error {
+	unanswered, err := l.sendOrder(ctx, classOfStart(order.Priority), withdrawn, func(ctx context.Context) error {
 		if !l.env.startsAllowed(l.worker().Zone) {
 			return errZoneEvacuated
 		}
@@ -72,11 +69,22 @@
 	l.env.report(ctx, startReply{worker: order.Worker, task: order.Task, run: order.Run, result: result})
 }
 
+// classOfStart returns the class of a start by its priority.
+func classOfStart(priority placing.StartPriority) orderClass {
+	switch priority {
+	case placing.StartGuaranteed:
+		return guaranteedStarts
+	case placing.StartUrgent:
+		return urgentStarts
+	}
+	return ordinaryStarts
+}
+
 // sendOrder sends an order until it is answered or the attempts are used up. unanswered is true
 // if an earlier attempt went unanswered: it may still take effect, whatever a later answer says.
-func (l *link) sendOrder(ctx context.Context, withdrawn <-chan struct{}, send func(context.Context) error) (unanswered bool, err error) {
+func (l *link) sendOrder(ctx context.Context, class orderClass, withdrawn <-chan struct{}, send func(context.Context) error) (unanswered bool, err error) {
 	for range maxOrderAttempts {
-		err = l.sendOnce(ctx, withdrawn, send)
+		err = l.sendOnce(ctx, class, withdrawn, send)
 		if err == nil || isAnswer(err) || wasWithheld(err) || ctx.Err() != nil {
 			return unanswered, err
 		}
@@ -107,15 +115,11 @@
 	l.reportIncarnation(ctx, err)
 }
 
-func (l *link) sendOnce(ctx context.Context, withdrawn <-chan struct{}, send func(context.Context) error) error {
-	select {
-	case l.env.orderSlots <- struct{}{}:
-	case <-withdrawn:
-		return errWithdrawn
-	case <-ctx.Done():
-		return ctx.Err()
+func (l *link) sendOnce(ctx context.Context, class orderClass, withdrawn <-chan struct{}, send func(context.Context) error) error {
+	if err := l.env.orderSlots.acquire(ctx, class, withdrawn); err != nil {
+		return err
 	}
-	defer func() { <-l.env.orderSlots }()
+	defer l.env.orderSlots.release()
 	select {
 	case <-withdrawn:
 		return errWithdrawn
@@ -129,7 +133,9 @@
 	sent := l.env.clock.Now()
 	err := send(ctx)
 	if err == nil {
-		l.env.timeout.observe(l.env.clock.Now().Sub(sent))
+		latency := l.env.clock.Now().Sub(sent)
+		l.env.timeout.observe(latency)
+		l.env.orderSlots.observe(latency)
 	}
 	return err
 }
@@ -163,7 +169,7 @@
 
 // stop sends a stop. The engine repeats one that is not answered.
 func (l *link) stop(ctx context.Context, order placing.Stop) {
-	_, err := l.sendOrder(ctx, nil, func(ctx context.Context) error {
+	_, err := l.sendOrder(ctx, stopOrders, nil, func(ctx context.Context) error {
 		_, err := l.env.workers.Stop(ctx, l.worker(), StopOrder{Task: order.Task, Run: order.Run, Epoch: l.env.epoch})
 		return err
 	})
@@ -179,7 +185,7 @@
 
 // pace sends a pace. The engine repeats one that is not answered.
 func (l *link) pace(ctx context.Context, order placing.Pace) {
-	_, err := l.sendOrder(ctx, nil, func(ctx context.Context) error {
+	_, err := l.sendOrder(ctx, stopOrders, nil, func(ctx context.Context) error {
 		return l.env.workers.Pace(ctx, l.worker(), PaceOrder{Task: order.Task, Run: order.Run, Percent: order.Percent, Epoch: l.env.epoch})
 	})
 	if err == nil {
--- a/batch/order_test.go
+++ b/batch/order_test.go
@@ -165,7 +165,7 @@
 		links := newLinkSet(ctx, link.env, &sync.WaitGroup{})
 		links.links["w"] = link
 		for range maxConcurrentOrders {
-			link.env.orderSlots <- struct{}{} // all slots are in use
+			is.NoErr(link.env.orderSlots.acquire(ctx, ordinaryStarts, nil)) // all slots are in use
 		}
 		task := jobs.TaskKey{Job: "a1"}
 		links.start(placing.Start{Task: task, Worker: "w", Run: 1}, false)
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -94,6 +94,7 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string // of the advice service, if the step's queue uses it
+	Priority   StartPriority
 }
 
 // Stop is an order to stop a run.
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -69,6 +69,7 @@
 		Spec:       run.task.step.job.submission.Spec,
 		Checkpoint: run.task.checkpoint,
 		Ticket:     run.task.step.ticketFor(run.node.entry.ID),
+		Priority:   e.startPriority(run.task.step.job),
 	})
 }
 
