No more work is placed than the leader's link can start within a second

Cause: the leader of 120 workers placed 960 accelerators full, and its link of 2 Mbit/s started 80 to 100 tasks a second; 450 to 500 starts waited to be sent for 16 s and held all capacity meanwhile, so a gang of 11 whole workers found none and what was placed first went first.

While answers to orders take more than 0.1 s, work that is not urgent is placed only as far as its starts can be sent within a second at the measured rate; a gang is placed as a whole. Where answers are quick, or with delegates, there is no limit. The load line tells how many starts are not answered yet.

--- a/batch/dispatchers.go
+++ b/batch/dispatchers.go
@@ -200,6 +200,15 @@
 	}
 }
 
+// startLimit returns how many more starts can be sent soon. Delegates have links of their own, so
+// there is no limit with them.
+func (d *dispatchers) startLimit() int {
+	if len(d.sessions) > 0 {
+		return placing.UnlimitedStarts
+	}
+	return d.ownLinks.env.orderSlots.startLimit()
+}
+
 // clearStart records that a start need not be sent again.
 func (d *dispatchers) clearStart(worker string, key startKey) {
 	if w := d.workers[worker]; w != nil {
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -219,6 +219,7 @@
 		l.engine.SetListReadAt(l.workerList.lastContact())
 		l.engine.SetEvacuationsReadAt(l.instance.operator.lastContact())
 		l.engine.SetLimits(l.instance.limits())
+		l.engine.SetStartLimit(l.dispatchers.startLimit())
 		plan := l.engine.Decide(l.clock.Now())
 		l.execute(ctx, plan)
 		l.writer.renewIfDue(l.clock.Now())
--- a/batch/orderslots.go
+++ b/batch/orderslots.go
@@ -5,6 +5,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/teaselcleat/teaselcleat/placing"
 )
 
 const (
@@ -16,6 +18,11 @@
 	minConcurrentOrders = 32
 	// uncongestedLatency is the latency of answers above which the bound is lowered.
 	uncongestedLatency = 100 * time.Millisecond
+	// answerLatencyWeight is the weight of the newest answer in the moving average of the latency.
+	answerLatencyWeight = 0.1
+	// maxStartWait is how long starts may wait to be sent before no more work is placed. It leaves
+	// time to record the next placements meanwhile.
+	maxStartWait = time.Second
 	// slotDecrease is the share of the bound that a slower answer takes off; a quicker one adds one.
 	// Where the link is full all answers are slow; a few slow workers hardly lower the bound.
 	slotDecrease = 0.05
@@ -38,6 +45,7 @@
 	lock     sync.Mutex
 	inFlight int
 	limit    float64
+	latency  time.Duration // moving average
 	waiting  [orderClassCount]*list.List
 }
 
@@ -105,9 +113,24 @@
 func (s *orderSlots) observe(latency time.Duration) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.latency += time.Duration(answerLatencyWeight * float64(latency-s.latency))
 	if latency > uncongestedLatency {
 		s.limit = max(minConcurrentOrders, (1-slotDecrease)*s.limit)
 		return
 	}
 	s.limit = min(maxConcurrentOrders, s.limit+1)
 }
+
+// startLimit returns how many more starts can be sent within maxStartWait.
+func (s *orderSlots) startLimit() int {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.latency <= uncongestedLatency {
+		return placing.UnlimitedStarts
+	}
+	sendable := int(s.limit * maxStartWait.Seconds() / s.latency.Seconds())
+	for _, waiting := range s.waiting {
+		sendable -= waiting.Len()
+	}
+	return max(0, sendable)
+}
--- a/batch/orderslots_test.go
+++ b/batch/orderslots_test.go
@@ -115,6 +115,7 @@
 				links.wg.Wait()
 				is.True(workers.maxInFlight >= c.least)
 				is.True(workers.maxInFlight <= c.most)
+				is.Equal(links.env.orderSlots.startLimit() == placing.UnlimitedStarts, c.orderTime == 0)
 			})
 		})
 	}
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -39,6 +39,7 @@
 	recordingRuns        []*run    // placed, their record in flight
 	changedJobs          []*job    // dirty, in the order of their changes
 	groupLimit           int       // bytes of records that end a group
+	startLimit           int       // starts that can be sent soon
 	recordsInFlight      bool      // a group of records is in flight
 	recordsSentAt        time.Time // when it was sent
 	pendingAcks          map[*node]int64
@@ -67,6 +68,7 @@
 		epoch:             epoch,
 		wallMS:            wallMS,
 		groupLimit:        maxGroupBytes,
+		startLimit:        UnlimitedStarts,
 		jobs:              map[string]*job{},
 		nodes:             map[string]*node{},
 		incarnations:      map[string][]*node{},
--- a/placing/pass.go
+++ b/placing/pass.go
@@ -42,6 +42,9 @@
 			e.reserveHeadroom(units, view, now)
 			headroomReserved = true
 		}
+		if e.allowedStarts(unit) == 0 {
+			continue
+		}
 		e.placeUnit(unit, view, now)
 	}
 	e.requestAdvice(view, now)
@@ -100,7 +103,7 @@
 // and, if it is urgent, preempts other work.
 func (e *Engine) placeUnit(unit *unit, view *view, now time.Time) {
 	reservation := unit.releaseReservation(view)
-	placements := e.findPlacements(unit, reservation, view, now)
+	placements := e.limitStarts(unit, e.findPlacements(unit, reservation, view, now))
 	if len(placements) > 0 {
 		e.assumeUnit(unit, placements, view, now)
 		if len(placements) < len(unit.tasks) {
--- a/placing/start_delay.go
+++ b/placing/start_delay.go
@@ -62,7 +62,7 @@
 	check.trackIdlePools()
 	for _, unit := range units {
 		waiting := unit.unplaced()
-		if len(waiting.tasks) == 0 {
+		if len(waiting.tasks) == 0 || e.allowedStarts(unit) == 0 {
 			continue
 		}
 		if check.usable == nil && (check.delayBoundApplies(unit) || check.shouldLog(unit)) {
@@ -114,7 +114,7 @@
 	if len(mustStart.tasks) == 0 {
 		candidate = unit
 	}
-	placements := c.usable.fit(candidate, false)
+	placements := c.engine.limitStarts(candidate, c.usable.fit(candidate, false))
 	if len(placements) > 0 && (candidate == mustStart || c.shouldLog(unit)) {
 		c.logDelay(unit, placements)
 	}
--- a/placing/summary.go
+++ b/placing/summary.go
@@ -9,6 +9,19 @@
 // second is easy to read and shows every burst, as bursts last some seconds.
 const summaryInterval = time.Second
 
+// unansweredStarts returns the number of runs whose start was ordered and is not answered yet.
+func (e *Engine) unansweredStarts() int {
+	count := 0
+	for _, node := range e.nodeOrder {
+		for _, run := range node.runs {
+			if run.phase == phaseOrdered {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // logSummary logs the capacity and usage of the workers and what waits, by tier.
 func (e *Engine) logSummary(units []*unit, view *view, now time.Time) {
 	if now.Sub(e.summarizedAt) < summaryInterval {
@@ -36,5 +49,5 @@
 		waiting[unit.tier] += int64(len(unit.tasks)) * unit.step.need().Accelerators
 	}
 	e.plan.LogEvents = append(e.plan.LogEvents, LogEvent{Event: "load", Detail: fmt.Sprintf(
-		"accelerators %d usable %d evacuated %d busy %d stopping %d waiting_by_tier %v jobs %d", total, usable, evacuated, busy, stopping, waiting, len(e.active))})
+		"accelerators %d usable %d evacuated %d busy %d stopping %d waiting_by_tier %v jobs %d unanswered_starts %d", total, usable, evacuated, busy, stopping, waiting, len(e.active), e.unansweredStarts())})
 }
