Own interface: a release without an answer doesn't end a run before its leases

A run that was being released ended as soon as all release calls had returned, also those that returned an error: a connection that was refused or cut, a call given up, a worker that isn't listed. Its leases could last for up to a lease more, and the scheduler placed other runs on the same accelerators, or the same job again while its former tasks still ran. Only an answer ends a run now, also the one that there is no such lease; else it ends a lease and the time of a poll after the release, as a poll sent before may arrive until its deadline. TestRunWithAnUnansweredReleaseEndsWithItsLeases failed before.

Not mended: a renewal carries a length, not an end, so one that arrives after its caller gave it up still renews for a whole lease. A worker would have to refuse it by its own clock.

--- a/gangs/coordinator.go
+++ b/gangs/coordinator.go
@@ -6,6 +6,7 @@
 package gangs
 
 import (
+	"errors"
 	"sort"
 	"time"
 
@@ -121,7 +122,7 @@
 	case e.Call.Kind == CallStart && g.phase == phaseStarting:
 		return c.onStartEnded(g, m, e.Err, now)
 	case e.Call.Kind == CallRelease && g.phase == phaseReleasing:
-		return c.onReleaseEnded(g, m)
+		return c.onReleaseEnded(g, m, e.Err)
 	}
 	return nil
 }
@@ -151,7 +152,12 @@
 	return g.callAll(CallRelease)
 }
 
-func (c *Coordinator) onReleaseEnded(g *gang, m *member) []Action {
+// onReleaseEnded ends a run once no worker holds a lease. A release without an answer may not have
+// taken effect; that lease expires, see tickGang.
+func (c *Coordinator) onReleaseEnded(g *gang, m *member, err error) []Action {
+	if err != nil && !errors.Is(err, worker.ErrNoLease) {
+		return nil
+	}
 	m.callEnded = true
 	if !g.allCallsEnded() {
 		return nil
@@ -261,7 +267,7 @@
 			return c.halt(g, haltCause{structs.ReasonMemberLost, g.firstUnacked(), scheduler.RunLost}, now)
 		}
 	case phaseReleasing:
-		if now.Sub(g.phaseStarted) > c.config.LeaseTTL {
+		if now.Sub(g.phaseStarted) > c.config.LeaseTTL+c.pollTimeout() {
 			return c.removeRun(g)
 		}
 	case phaseRunning, phaseStopping:
@@ -293,6 +299,9 @@
 	return nil
 }
 
+// pollTimeout is how long a poll may take to arrive at a worker and renew its leases.
+func (c *Coordinator) pollTimeout() time.Duration { return c.config.LeaseTTL / 4 }
+
 func (g *gang) firstUnacked() string {
 	for _, m := range g.members {
 		if !m.acked {
--- a/gangs/regression_test.go
+++ b/gangs/regression_test.go
@@ -120,3 +120,41 @@
 	}
 	t.Fatal("no stop record was appended for the run")
 }
+
+// Guards against a run placed on accelerators that are still leased: a release that is not answered
+// may not have taken effect.
+func TestRunWithAnUnansweredReleaseEndsWithItsLeases(t *testing.T) {
+	is := is.New(t)
+	c := newCoordinator()
+	for _, start := range startCalls(c) {
+		c.Step(gangs.CallEnded{Call: start}, startTime)
+	}
+	releases := calls(c.Step(gangs.StopRun{Run: "j#1", Reason: structs.ReasonCancelled}, startTime), gangs.CallRelease)
+	is.Equal(len(releases), 2)
+	after := c.Step(gangs.CallEnded{Call: releases[0]}, startTime)
+	after = append(after, c.Step(gangs.CallEnded{Call: releases[1], Err: errConnectionCut}, startTime)...)
+	after = append(after, c.Step(gangs.Tick{LogAvailable: true}, startTime.Add(leaseTTL*5/4))...) // a poll may renew the lease meanwhile
+	is.Equal(endedRuns(after), 0)
+	is.Equal(endedRuns(c.Step(gangs.Tick{LogAvailable: true}, startTime.Add(leaseTTL*5/4+time.Millisecond))), 1)
+}
+
+func TestRunEndsOnceItsWorkersHoldNoLease(t *testing.T) {
+	is := is.New(t)
+	c := newCoordinator()
+	for _, start := range startCalls(c) {
+		c.Step(gangs.CallEnded{Call: start}, startTime)
+	}
+	releases := calls(c.Step(gangs.StopRun{Run: "j#1", Reason: structs.ReasonCancelled}, startTime), gangs.CallRelease)
+	c.Step(gangs.CallEnded{Call: releases[0]}, startTime)
+	is.Equal(endedRuns(c.Step(gangs.CallEnded{Call: releases[1], Err: worker.ErrNoLease}, startTime)), 1)
+}
+
+func endedRuns(actions []gangs.Action) int {
+	count := 0
+	for _, action := range actions {
+		if _, ok := action.(gangs.RunEnded); ok {
+			count++
+		}
+	}
+	return count
+}
