A leader also waits for leases of leaders before the former one

A new leader waits for the leases that the former leader may have granted to a worker that is gone: 2 s and a lease if that one handed the term over, 9 s and a lease if it may be cut off. It asked for the former one alone. A leader that is cut off from the store at t goes on until t+9 and its leases last until t+15.5; if the next one hands the term over at t+5, as in a rolling restart beside a lost zone, the third took runs at an unlisted worker of that zone as over at t+13.5 and started them again while they ran.

Renewals of the term state now how long leases may last that were granted before it, and the next leader waits at least for that. Where nothing is stated (the former leader never renewed, or is of a former version) the former leader counts as one that may go on. Former versions ignore the field. A term that lasted 15.5 s states that nothing is left, so the waits after a loss of all instances are as before.

TestLeasesOfALeaderBeforeTheFormerOneAreWaitedFor fails without. Cost: if the term changes twice within 15.5 s, first by a loss, runs at workers that are gone are waited for up to 15.5 s from the first change.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -58,7 +58,7 @@
 		previous := e.term
 		e.observe(i.term(), now)
 		if e.isLeader() && e.term.Epoch == i.lastClaim.Epoch {
-			i.lead(ctx, e.term, i.claimSequence, formerLeaderState(previous, e.term, i.settings.Name))
+			i.lead(ctx, e.term, i.claimSequence, previous)
 			e.reset()
 			i.lastClaim = jobs.Term{}
 			continue
--- a/batch/election.go
+++ b/batch/election.go
@@ -119,6 +119,18 @@
 	return name
 }
 
+// formerLeases returns how long leases may last that were granted before the former term. It is
+// not known if the former leader did not state it: it never renewed the term.
+func formerLeases(previous, current jobs.Term) (left time.Duration, known bool) {
+	if current.Epoch == 1 {
+		return 0, true // no term was ever held before
+	}
+	if previous.Epoch != current.Epoch-1 || previous.FormerLeasesMS == 0 {
+		return 0, false
+	}
+	return time.Duration(previous.FormerLeasesMS) * time.Millisecond, true
+}
+
 // formerLeaderState returns the state of the previous leader as far as the winner of a term knows
 // it; previous is the newest term that the winner had observed. A former incarnation of the winner
 // has exited. After a loss of all instances the former leader usually wins again, and waiting for a
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -55,8 +55,8 @@
 	ctx        context.Context // ends with the term
 }
 
-// lead leads the term until it is lost or ctx ends.
-func (i *Instance) lead(ctx context.Context, term jobs.Term, sequence int64, former placing.FormerLeaderState) {
+// lead leads the term until it is lost or ctx ends. previous is the newest term that was observed before.
+func (i *Instance) lead(ctx context.Context, term jobs.Term, sequence int64, previous jobs.Term) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := &leader{
@@ -73,6 +73,7 @@
 	l.dispatchers = newDispatchers(l)
 	l.writer = newFencedWriter(l, term, sequence)
 	i.delegations.fenceBefore(term.Epoch)
+	former := l.applyFormerLeases(previous, term)
 	l.log.WithField("former", former.String()).Info("term_won")
 	i.leading.Store(true)
 	i.wakeFollowers()
@@ -139,6 +140,19 @@
 		l.pools[job.Submission.Queue.Pool] = true
 	}
 	l.engine.LoadJobs(all, former, l.clock.Now())
+	l.writer.setFormerLeases(l.engine.FormerLeasesExpireAt())
+}
+
+// applyFormerLeases passes on how long leases of earlier leaders may last, and returns the state of the
+// former one. A leader that handed the term over or ended knows of no other that goes on, cut
+// off from the store, unless it says so.
+func (l *leader) applyFormerLeases(previous, term jobs.Term) placing.FormerLeaderState {
+	left, known := formerLeases(previous, term)
+	if !known {
+		return placing.FormerLeaderUnknown
+	}
+	l.engine.SetFormerLeases(l.clock.Now().Add(left))
+	return formerLeaderState(previous, term, l.instance.settings.Name)
 }
 
 // catchUpCalls reads callers' records once, so that the engine mostly starts with all jobs.
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -40,6 +40,8 @@
 	renewNow    bool      // renew the term regardless of the time
 	stalled     bool      // progress cannot be written
 	confirmedAt time.Time // when the newest successful append of states was sent
+	// formerLeasesExpireAt is when leases have expired that were granted before the term; zero until that is known.
+	formerLeasesExpireAt time.Time
 }
 
 // newFencedWriter returns a writer that continues after the append that claimed the term.
@@ -230,11 +232,20 @@
 	return nil
 }
 
+func (w *fencedWriter) setFormerLeases(expireAt time.Time) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.formerLeasesExpireAt = expireAt
+}
+
 func (w *fencedWriter) nextTerm() jobs.Term {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.term.Renewals++
 	w.term.Stalled = w.stalled
+	if !w.formerLeasesExpireAt.IsZero() {
+		w.term.FormerLeasesMS = max(0, w.formerLeasesExpireAt.Sub(w.leader.clock.Now()).Milliseconds()) + 1
+	}
 	w.renewNow = false
 	return w.term
 }
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -34,6 +34,9 @@
 	Leader   string `json:"h"`           // instance name and boot; empty after the term was handed over
 	Renewals int64  `json:"n,omitempty"` // incremented by each renewal
 	Stalled  bool   `json:"s,omitempty"` // the leader cannot write progress
+	// FormerLeasesMS is how long leases that were granted before this term may last from the
+	// renewal on, plus 1; 0 if that is not stated, as in claims and by former versions.
+	FormerLeasesMS int64 `json:"f,omitempty"`
 }
 
 // SubmissionRecord returns the record by which a job is accepted.
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -162,7 +162,7 @@
 // expected at their workers. Those at workers that are not listed any more count as
 // running until the leases of the former leader have expired.
 func (e *Engine) LoadJobs(loaded []*jobs.Job, former FormerLeaderState, now time.Time) {
-	e.formerLeasesExpireAt = now.Add(LeaseExpiry(e.limits.MaxLease) + e.limits.formerLeaderTimeout(former))
+	e.formerLeasesExpireAt = laterTime(e.formerLeasesExpireAt, now.Add(LeaseExpiry(e.limits.MaxLease)+e.limits.formerLeaderTimeout(former)))
 	for _, job := range loaded {
 		e.ApplyJob(job, now)
 	}
--- a/placing/limits.go
+++ b/placing/limits.go
@@ -52,3 +52,10 @@
 	}
 	return l.LostLeaderTimeout
 }
+
+// SetFormerLeases sets until when leases may last that were granted before the former leader's term. It
+// is called before LoadJobs.
+func (e *Engine) SetFormerLeases(expireAt time.Time) { e.formerLeasesExpireAt = expireAt }
+
+// FormerLeasesExpireAt returns when all leases have expired that were granted before this term.
+func (e *Engine) FormerLeasesExpireAt() time.Time { return e.formerLeasesExpireAt }
