Nothing starts at a worker that leaves before the placement is on record

A gang of 20 was placed at 16.64; the store was overloaded and its record durable at 25.9 only. One of its workers had announced at 18.29 that it leaves in 8 s. The starts were sent all the same, and that worker was gone when its own arrived (26.05).

A placed run is dropped before any start of its group is ordered if its worker leaves, like one that does not fit any more, and with it its gang. That is decided for all runs of a group before the first is ordered, so no member of such a gang is started and stopped in one plan.

TestNothingStartsAtAWorkerThatLeavesBeforeThePlacementIsOnRecord failed before (2 starts).

--- a/placing/engine.go
+++ b/placing/engine.go
@@ -328,6 +328,9 @@
 // The starts and acknowledgements that depend on them come with the next plan.
 func (e *Engine) MarkRecordsDurable(now time.Time) {
 	e.recordsInFlight = false
+	for _, run := range e.recordingRuns {
+		e.dropUnfit(run, now)
+	}
 	for _, run := range e.recordingRuns {
 		e.dispatch(run, now)
 	}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -45,17 +45,25 @@
 	e.markDirty(job)
 }
 
-// dispatch orders the start of a run whose placement is on record.
-func (e *Engine) dispatch(run *run, now time.Time) {
+// dropUnfit ends a run whose placement is on record if its worker may not take it any more, and with it
+// the other members of its gang, of which nothing was sent yet.
+func (e *Engine) dropUnfit(run *run, now time.Time) {
 	if run.phase != phasePlanned || run.task.run != run {
 		return
 	}
-	if !e.stillFits(run.node, now) {
+	switch {
+	case !e.stillFits(run.node, now):
 		e.endRun(run, "does not fit any more", now)
-		return
-	}
-	if !e.evacuationsFresh(now) {
+	case run.node.entry.Leaving:
+		e.endRun(run, "worker leaving", now)
+	case !e.evacuationsFresh(now):
 		e.endRun(run, "evacuated zones not known", now)
+	}
+}
+
+// dispatch orders the start of a run whose placement is on record.
+func (e *Engine) dispatch(run *run, now time.Time) {
+	if run.phase != phasePlanned || run.task.run != run {
 		return
 	}
 	run.phase = phaseOrdered
