A gang is stopped once a start of it is not answered

All members are stopped now with the one that is.

TestGangIsStoppedOnceAStartOfItIsNotAnswered failed before.

--- a/placing/doomed_gang_test.go
+++ b/placing/doomed_gang_test.go
@@ -16,6 +16,21 @@
 	return gang.ID
 }
 
+// Guards against a gang whose members wait for one at a worker that is gone until their time is over.
+func TestGangIsStoppedOnceAStartOfItIsNotAnswered(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(1)
+	placeGang(c)
+	c.engine.MarkRecordsDurable(c.now)
+	starts := c.engine.Decide(c.now).Starts
+	is.Equal(len(starts), 2)
+	c.engine.StartAnswered(starts[0].Worker, starts[0].Task, 1, StartAccepted, c.now)
+	c.engine.StartAnswered(starts[1].Worker, starts[1].Task, 1, StartUnknown, c.now)
+	plan := c.engine.Decide(c.now)
+	is.Equal(stopsOf(plan, starts[0].Task), 1)
+	is.Equal(stopsOf(plan, starts[1].Task), 1)
+}
+
 // Guards against starts at a worker that announced that it leaves while the record of the placement was
 // being written, for seconds where the store is overloaded.
 func TestNothingStartsAtAWorkerThatLeavesBeforeThePlacementIsOnRecord(t *testing.T) {
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -92,7 +92,7 @@
 		e.startAccepted(run, now)
 	case StartUnknown:
 		if run.phase == phaseOrdered {
-			e.stopRun(run, "start not answered", now)
+			e.stopRunOrGang(run, "start not answered", now)
 			run.node.health.markSilent(now)
 		}
 	default:
