--- a/placing/engine.go
+++ b/placing/engine.go
@@ -36,12 +36,14 @@
 	demands map[string]*demands // by pool
 
 	plan                 Plan
-	pendingRuns          []*run    // placed, their record not yet sent
-	recordingRuns        []*run    // placed, their record in flight
-	changedJobs          []*job    // dirty, in the order of their changes
-	groupLimit           int       // bytes of records that end a group
-	recordsInFlight      bool      // a group of records is in flight
-	recordsSentAt        time.Time // when it was sent
+	pendingRuns          []*run        // placed, their record not yet sent
+	recordingRuns        []*run        // placed, their record in flight
+	changedJobs          []*job        // dirty, in the order of their changes
+	groupLimit           int           // bytes of records that end a group
+	startLimit           int           // starts that can be sent soon
+	stopDelay            time.Duration // until the end of a stopped run is known, moving average
+	recordsInFlight      bool          // a group of records is in flight
+	recordsSentAt        time.Time     // when it was sent
 	pendingAcks          map[*node]int64
 	acksInFlight         map[*node]int64
 	lastPassAt           time.Time
@@ -68,6 +70,7 @@
 		epoch:             epoch,
 		wallMS:            wallMS,
 		groupLimit:        maxGroupBytes,
+		startLimit:        UnlimitedStarts,
 		jobs:              map[string]*job{},
 		nodes:             map[string]*node{},
 		incarnations:      map[string][]*node{},
@@ -95,6 +98,7 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string // of the advice service, if the step's queue uses it
+	Priority   StartPriority
 }
 
 // Stop is an order to stop a run.
@@ -159,7 +163,7 @@
 // expected at their workers. Those at workers that are not listed any more count as
 // running until the leases of the former leader have expired.
 func (e *Engine) LoadJobs(loaded []*jobs.Job, former FormerLeaderState, now time.Time) {
-	e.formerLeasesExpireAt = now.Add(LeaseExpiry(e.limits.MaxLease) + e.limits.formerLeaderTimeout(former))
+	e.formerLeasesExpireAt = laterTime(e.formerLeasesExpireAt, now.Add(LeaseExpiry(e.limits.MaxLease)+e.limits.formerLeaderTimeout(former)))
 	for _, job := range loaded {
 		e.ApplyJob(job, now)
 	}
@@ -325,6 +329,9 @@
 // The starts and acknowledgements that depend on them come with the next plan.
 func (e *Engine) MarkRecordsDurable(now time.Time) {
 	e.recordsInFlight = false
+	for _, run := range e.recordingRuns {
+		e.dropUnfit(run, now)
+	}
 	for _, run := range e.recordingRuns {
 		e.dispatch(run, now)
 	}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -45,17 +45,25 @@
 	e.markDirty(job)
 }
 
-// dispatch orders the start of a run whose placement is on record.
-func (e *Engine) dispatch(run *run, now time.Time) {
+// dropUnfit ends a run whose placement is on record if its worker may not take it any more, and with it
+// the other members of its gang, of which nothing was sent yet.
+func (e *Engine) dropUnfit(run *run, now time.Time) {
 	if run.phase != phasePlanned || run.task.run != run {
 		return
 	}
-	if !e.stillFits(run.node, now) {
+	switch {
+	case !e.stillFits(run.node, now):
 		e.endRun(run, "does not fit any more", now)
-		return
-	}
-	if !e.evacuationsFresh(now) {
+	case run.node.entry.Leaving:
+		e.endRun(run, "worker leaving", now)
+	case !e.evacuationsFresh(now):
 		e.endRun(run, "evacuated zones not known", now)
+	}
+}
+
+// dispatch orders the start of a run whose placement is on record.
+func (e *Engine) dispatch(run *run, now time.Time) {
+	if run.phase != phasePlanned || run.task.run != run {
 		return
 	}
 	run.phase = phaseOrdered
@@ -69,6 +77,7 @@
 		Spec:       run.task.step.job.submission.Spec,
 		Checkpoint: run.task.checkpoint,
 		Ticket:     run.task.step.ticketFor(run.node.entry.ID),
+		Priority:   e.startPriority(run.task.step.job),
 	})
 }
 
@@ -83,7 +92,7 @@
 		e.startAccepted(run, now)
 	case StartUnknown:
 		if run.phase == phaseOrdered {
-			e.stopRun(run, "start not answered", now)
+			e.stopRunOrGang(run, "start not answered", now)
 			run.node.health.markSilent(now)
 		}
 	default:
@@ -175,6 +184,7 @@
 // whole gang once the runs of all members are over.
 func (e *Engine) endRun(run *run, reason string, now time.Time) {
 	run.node.removeRun(run)
+	e.recordStopDelay(run, now)
 	task := run.task
 	if task.run != run {
 		return
