A batch shows the speeds of as many workers as it has tasks

Cause: work that can wait was sent to workers of unknown speed, but packed there, eight tasks on one worker, so a batch of forty showed the speeds of five workers. Gangs tell none. Change: each unknown worker gets one task for it, and no further one while that is about to show the speed; the others fill workers as usual. Why it holds: only where speeds are significant; urgent and isolated work is left alone.

--- a/placing/fit.go
+++ b/placing/fit.go
@@ -276,7 +276,7 @@
 		if count == 0 || !node.accepts(unit) || v.closedTo(unit, node) || unit.emptyOnly && !v.suitsIsolation(node, unit.now) {
 			continue
 		}
-		weight := node.freeShare(v.free[node.at]) + v.nodeSpeedWeight(node, unit) + v.nodeExplorationWeight(node, unit)
+		weight := node.freeShare(v.free[node.at]) + v.nodeSpeedWeight(node, unit)
 		if unit.isolated {
 			weight = -weight // prefers nodes where the loss of the worker costs least
 		}
@@ -286,8 +286,12 @@
 		if unit.ignorePreferences && (!node.schedulable(unit.now) || node.entry.ID == unit.avoidWorker) {
 			weight += lastResortWeight
 		}
-		candidates = append(candidates, candidate{node: node, count: count, weight: weight + rackWeight})
 		capacity += count
+		if v.explores(node, unit) {
+			candidates = append(candidates, candidate{node: node, count: 1, weight: weight + rackWeight - explorationWeight})
+			count--
+		}
+		candidates = append(candidates, candidate{node: node, count: count, weight: weight + rackWeight})
 	}
 	return candidates, capacity
 }
