Test: speeds outlive two changes of leader, with two instances and one log

Two instances share a log; the leader loses its writes of progress, the other one takes over and knows the speeds, and the same back. It fails with the loading left out of leader.go.

--- a/batch/speeds_test.go
+++ b/batch/speeds_test.go
@@ -109,3 +109,39 @@
 func countDecisions(l *leader, name string) int64 {
 	return metrics.GetOrRegisterCounter("decisions."+name, l.instance.metrics.registry).Count()
 }
+
+// knownSpeeds returns how many workers the leader of a pair of instances knows the speed of.
+func (p *instancePair) knownSpeeds(leader string) int64 {
+	return p.instances[leader].metrics.knownSpeeds.Value()
+}
+
+// The speeds outlive two changes of leader: each new one reads them with the progress, before its term
+// begins to place.
+func TestSpeedsOutliveChangesOfLeader(t *testing.T) {
+	record := func(pair *instancePair) jobs.Record {
+		speeds := &jobs.Speeds{Variance: 0.1}
+		for _, entry := range pair.fleet.entries() {
+			speeds.Workers = append(speeds.Workers, jobs.WorkerSpeed{Incarnation: jobs.IncarnationHash(entry.ID), LogSpeed: 0.3, Samples: 4})
+		}
+		return jobs.SpeedsRecord(speeds)
+	}
+	prepare := func(pair *instancePair) {
+		log := pair.clients["a"].sharedLog
+		log.parts[progressPart(8)] = append(log.parts[progressPart(8)], record(pair))
+	}
+	withInstancePair(t, prepare, func(pair *instancePair, is *is.I) {
+		leader, standby := pair.leaderAndStandby(is)
+		workers := int64(len(pair.fleet.entries()))
+		is.Equal(pair.knownSpeeds(leader), workers)
+		for range 2 {
+			pair.clients[leader].setStuck(true)
+			pair.submit(standby, "a"+leader, is) // progress that the leader cannot write
+			is.True(pair.becomesLeader(standby, failoverTimeout))
+			time.Sleep(2 * speedsPublishInterval)
+			is.Equal(pair.knownSpeeds(standby), workers)
+			pair.clients[leader].setStuck(false)
+			time.Sleep(takeoverBackoff) // until then an instance that could not write claims no such term
+			leader, standby = standby, leader
+		}
+	})
+}
