Callers' records go to another part of the store while theirs is away

Cause: a job's records go to one part (partition) of the work stream, by its ID. The log shows it: store_lost of all instances names parts 2, 3 and 4 alone. So it is not that the store turns some instances away.

Change: a record goes to the first part that answers: the usual one, then the others in an order that depends on the ID. The fold identifies a job by its ID and expiry deletes the copies in all parts, so a copy in two parts is one job. An append without an answer is resolved by writing the record to another part. A job is reported as unknown only when all parts were read. Addresses of instances stay in one part, as a later one must win.

Ruled out: relaying, which meets the same parts away and made the answers undecided, as one of the two other instances had not noticed the outage yet.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -179,19 +179,27 @@
 
 // localState returns the state of a job as this instance reads it. Unless the state is final, the
 // newest records of the leader are read first. A job that is unknown here may have been accepted
-// elsewhere a moment ago, so the log is read up to now before the job is reported as unknown.
+// elsewhere a moment ago, so the usual part, and then all that may hold it, are read up to now before the
+// job is reported as unknown.
 func (i *Instance) localState(ctx context.Context, id string, wait time.Duration) (jobs.State, Outcome) {
 	if state, ok := i.refreshedState(ctx, id, wait); ok {
 		return state, Outcome{Verdict: Accepted}
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	if err := i.followerOf(partOf(id, i.settings.StoreParts)).refresh(ctx, 0); err != nil {
-		return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: storeDownRetryAfter}
+	usual := partOf(id, i.settings.StoreParts)
+	if err := i.followerOf(usual).refresh(ctx, 0); err == nil {
+		if state, ok := i.cachedState(id); ok {
+			return state, Outcome{Verdict: Accepted}
+		}
 	}
+	err := i.refreshCalls(ctx)
 	if state, ok := i.cachedState(id); ok {
 		return state, Outcome{Verdict: Accepted}
 	}
+	if err != nil {
+		return "", Outcome{Verdict: Unavailable, Reason: "store away", RetryAfter: storeDownRetryAfter}
+	}
 	return "", Outcome{Verdict: NoSuchJob, Reason: "not in the log"}
 }
 
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -62,8 +62,8 @@
 	return min(maxCallParts, parts-2)
 }
 
-// partOf returns the part that holds callers' records about a subject, so that one part shows
-// whether a job exists.
+// partOf returns the part that usually holds callers' records about a subject; see partsOf for the
+// others.
 func partOf(subject string, parts int) int {
 	if parts < 2 {
 		return statePart
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -342,11 +342,8 @@
 	return c
 }
 
-// committerFor returns the committer that appends a caller's record.
-func (i *Instance) committerFor(record jobs.Record) *committer {
-	part := partOf(record.Subject(), i.settings.StoreParts)
-	return i.committers[max(0, part-1)]
-}
+// committerOf returns the committer that appends to a part.
+func (i *Instance) committerOf(part int) *committer { return i.committers[max(0, part-1)] }
 
 // followerOf returns the follower of a part of the work stream.
 func (i *Instance) followerOf(part int) *follower {
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -132,10 +132,7 @@
 
 // writeRecord appends a caller's record, here or through another instance.
 func (i *Instance) writeRecord(ctx context.Context, record jobs.Record) error {
-	err := ErrNotApplied
-	if i.mayWrite(ctx, record) {
-		err = i.committerFor(record).write(ctx, record)
-	}
+	err := i.writeHere(ctx, record)
 	if err == nil || errors.Is(err, ErrResultUnknown) && !errors.Is(err, errStoreUnreachable) {
 		return err // the store is slow or loses answers for all instances
 	}
@@ -150,24 +147,6 @@
 	return relayErr
 }
 
-// mayWrite reports whether an append from here is likely to be answered. The outcome of an append
-// to a store that has just become unreachable stays unknown, and its caller gets no definite
-// answer: 35 of some 1,200 submissions on days with an outage of the store for all instances. One
-// of the waiting reads fails at once in an outage, so after any failed read the part is read
-// before it is written to.
-func (i *Instance) mayWrite(ctx context.Context, record jobs.Record) bool {
-	if !i.isLoaded() || !i.work.isReachable() || i.committerFor(record).storeUnresponsive(i.work.lastAnswer()) {
-		return false
-	}
-	f := i.followerOf(partOf(record.Subject(), i.settings.StoreParts))
-	if f.answeredSince(time.Unix(0, i.readFailedAt.Load())) {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-	defer cancel()
-	return f.refresh(ctx, 0) == nil
-}
-
 // registeredInstances returns the registered instances by name. Some may have stopped.
 func (i *Instance) registeredInstances() map[string]jobs.Instance {
 	i.foldLock.Lock()
@@ -197,10 +176,7 @@
 
 func (i *Instance) relayedWrite(ctx context.Context, write *relaypb.Write) relaypb.Fate {
 	record := jobs.Record{Key: write.Key, Value: write.Value}
-	if !i.mayWrite(ctx, record) {
-		return relaypb.Fate_FATE_NOT_DONE
-	}
-	err := i.committerFor(record).write(ctx, record)
+	err := i.writeHere(ctx, record)
 	switch {
 	case err == nil:
 		return relaypb.Fate_FATE_DONE
@@ -232,8 +208,10 @@
 		i.log.WithField("error", err.Error()).Error("instance_record")
 		return
 	}
+	// The address goes to one part only: in several, an earlier address could be read after a later one.
+	part := partOf(record.Subject(), i.settings.StoreParts)
 	for i.settings.RelayAddress != "" && ctx.Err() == nil {
-		if i.isLoaded() && i.committerFor(record).write(ctx, record) == nil {
+		if i.isLoaded() && i.committerOf(part).write(ctx, record) == nil {
 			return
 		}
 		logstream.Sleep(ctx, registerBackoff)
