Another instance gets a record only after it has said that it reaches the store

Change: the question (a look without a job) comes first and is answered from what the instance knows, within 0.2 s; the record follows only a yes. While none of those asked reached the store, no hand-in asks again for 0.4 s.

--- a/batch/callparts.go
+++ b/batch/callparts.go
@@ -84,6 +84,20 @@
 	return f.answeredSince(time.Unix(0, i.readFailedAt.Load()))
 }
 
+// reachesStore reports whether any part for callers' records is likely to answer.
+func (i *Instance) reachesStore() bool {
+	for number := range i.committers {
+		if i.isAnswering(i.partOfCommitter(number)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (i *Instance) partOfCommitter(number int) int {
+	return number + min(1, callPartCount(i.settings.StoreParts))
+}
+
 // checkPart reads a part up to now and reports whether that succeeded.
 func (i *Instance) checkPart(ctx context.Context, part int) bool {
 	f := i.followerOf(part)
--- a/batch/callparts_test.go
+++ b/batch/callparts_test.go
@@ -23,6 +23,7 @@
 	Store
 	lock    sync.Mutex
 	away    map[int]bool
+	lossy   bool // answers to appends are lost
 	parts   map[int][]jobs.Record
 	appends map[int]int
 	reads   map[int]int
@@ -42,6 +43,12 @@
 	}
 }
 
+func (s *partwiseStore) loseAnswers(lost bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.lossy = lost
+}
+
 func (s *partwiseStore) Append(_ context.Context, part int, records []jobs.Record, _ *Fence) error {
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -50,6 +57,9 @@
 		return ErrResultUnknown
 	}
 	s.parts[part] = append(s.parts[part], records...)
+	if s.lossy {
+		return ErrResultUnknown
+	}
 	return nil
 }
 
@@ -101,9 +111,13 @@
 }
 
 func submitTestJob(instance *Instance, id string) Outcome {
-	ctx, cancel := context.WithTimeout(context.Background(), 2850*time.Millisecond)
+	return submitWithin(instance, id, 0, 2850*time.Millisecond)
+}
+
+func submitWithin(instance *Instance, id string, priority int, timeout time.Duration) Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return instance.Submit(ctx, &jobs.Submission{ID: id, Steps: []jobs.Step{{Tasks: 1}}})
+	return instance.Submit(ctx, &jobs.Submission{ID: id, Queue: jobs.Queue{Priority: priority}, Steps: []jobs.Step{{Tasks: 1}}})
 }
 
 // Guards against refused jobs while a part of the store is away and the others answer.
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -19,6 +19,12 @@
 	// peerCallTimeout bounds a call to another instance: the network takes a millisecond, an
 	// append 4 ms, or 0.3 s while the store is slow.
 	peerCallTimeout = 500 * time.Millisecond
+	// peerProbeTimeout bounds the question whether another instance reaches the store, which it answers
+	// from what it knows.
+	peerProbeTimeout = 200 * time.Millisecond
+	// relayPause is how long no other instance is asked to write after none of those asked reached the
+	// store.
+	relayPause = 400 * time.Millisecond
 	// peerBackoff is how long an instance is not called after it did not answer or had lost the
 	// store too.
 	peerBackoff = 700 * time.Millisecond
@@ -42,6 +48,7 @@
 	backoffUntil    map[string]time.Time // by address
 	unansweredCalls int                  // consecutive calls without an answer
 	failedAt        time.Time            // time of the last of these calls
+	noneReachedAt   time.Time            // when instances were last asked to write and none reached the store
 }
 
 func newPeers(clock *Clock) *peers {
@@ -69,8 +76,8 @@
 	p.backoffUntil[address] = p.clock.Now().Add(peerBackoff)
 }
 
-func (p *peers) call(ctx context.Context, address string, call *relaypb.Call) (*relaypb.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+func (p *peers) call(ctx context.Context, address string, call *relaypb.Call, timeout time.Duration) (*relaypb.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := p.client.Call(ctx, address, call)
 	p.recordCall(err == nil)
@@ -99,12 +106,19 @@
 	return p.unansweredCalls >= isolatedAfterFailures && p.clock.Now().Sub(p.failedAt) < isolationDuration
 }
 
-// write has another instance append a record. ErrNotApplied means that none did or will.
+// write has another instance append a record. ErrNotApplied means that none did or will. An instance
+// is first asked whether it reaches the store, as the outcome stays unknown if it does not answer once
+// it has the record.
 func (p *peers) write(ctx context.Context, addresses []string, record jobs.Record) error {
 	call := &relaypb.Call{Body: &relaypb.Call_Write{Write: &relaypb.Write{Key: record.Key, Value: record.Value}}}
 	result := ErrNotApplied
+	reached := false
 	for _, address := range addresses {
-		answer, err := p.call(ctx, address, call)
+		if !p.reachesStore(ctx, address) {
+			continue
+		}
+		reached = true
+		answer, err := p.call(ctx, address, call, peerCallTimeout)
 		switch {
 		case err == nil && answer.Fate == relaypb.Fate_FATE_DONE:
 			return nil
@@ -114,14 +128,41 @@
 			result = ErrResultUnknown
 		}
 	}
+	if !reached {
+		p.pauseRelaying()
+	}
 	return result
 }
 
+// reachesStore asks another instance whether it reaches the store.
+func (p *peers) reachesStore(ctx context.Context, address string) bool {
+	call := &relaypb.Call{Body: &relaypb.Call_Look{Look: &relaypb.Look{}}}
+	answer, err := p.call(ctx, address, call, peerProbeTimeout)
+	if err == nil && answer.Looked {
+		return true
+	}
+	p.backOff(address)
+	return false
+}
+
+func (p *peers) pauseRelaying() {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.noneReachedAt = p.clock.Now()
+}
+
+// isRelayingPaused reports whether none of the instances asked lately reached the store.
+func (p *peers) isRelayingPaused() bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return !p.noneReachedAt.IsZero() && p.clock.Now().Sub(p.noneReachedAt) < relayPause
+}
+
 // lookUpJob has another instance read the state of a job; answered is false if none could.
 func (p *peers) lookUpJob(ctx context.Context, addresses []string, id string) (state jobs.State, answered bool) {
 	call := &relaypb.Call{Body: &relaypb.Call_Look{Look: &relaypb.Look{Job: id}}}
 	for _, address := range addresses {
-		answer, err := p.call(ctx, address, call)
+		answer, err := p.call(ctx, address, call, peerCallTimeout)
 		if err == nil && answer.Looked {
 			return jobs.State(answer.State), true
 		}
@@ -136,6 +177,14 @@
 	if err == nil || errors.Is(err, ErrResultUnknown) && !errors.Is(err, errStoreUnreachable) {
 		return err // the store is slow or loses answers for all instances
 	}
+	return i.relayRecord(ctx, record, err)
+}
+
+// relayRecord has another instance append a record after an append from here failed with err.
+func (i *Instance) relayRecord(ctx context.Context, record jobs.Record, err error) error {
+	if i.peers.isRelayingPaused() {
+		return err
+	}
 	relayErr := i.peers.write(ctx, i.peerAddresses(), record)
 	i.metrics.count("relay.write")
 	if relayErr == nil {
@@ -186,7 +235,11 @@
 	return relaypb.Fate_FATE_UNKNOWN
 }
 
+// relayedLookUp answers whether this instance reaches the store if no job is named.
 func (i *Instance) relayedLookUp(ctx context.Context, id string) *relaypb.Answer {
+	if id == "" {
+		return &relaypb.Answer{Looked: i.reachesStore()}
+	}
 	if !i.isLoaded() || !i.work.isReachable() {
 		return &relaypb.Answer{}
 	}
--- a/batch/successor.go
+++ b/batch/successor.go
@@ -41,7 +41,7 @@
 func (i *Instance) requestClaim(ctx context.Context, epoch int64) bool {
 	call := &relaypb.Call{Body: &relaypb.Call_Claim{Claim: &relaypb.Claim{Epoch: epoch}}}
 	for _, address := range i.peerAddresses() {
-		answer, err := i.peers.call(ctx, address, call)
+		answer, err := i.peers.call(ctx, address, call, peerCallTimeout)
 		if err == nil && answer.Fate == relaypb.Fate_FATE_DONE {
 			return true
 		}
