Hand-ins wait for the store for a share of their callers' time

Change: a hand-in that certainly was not written waits in a bounded room (256, 2 MB; the least urgent leave a full room) for two fifths of its caller's time, is tried every 50 ms, and is refused with a return at once, so that four tries span nine tenths of the time. decideWait is pure; it refuses at once when the instance drains or is isolated, the time is short, or the outages seen (three at least) were all longer.

The tests fail on the former code, where nothing waits.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -79,12 +79,12 @@
 	if err != nil {
 		return Outcome{Verdict: NotRun, Reason: err.Error()}
 	}
-	err = i.writeRecord(ctx, record)
+	retryAfter, err := i.handIn(ctx, submission, record)
 	switch {
 	case err == nil:
 		return Outcome{Verdict: Accepted, Reason: "stored"}
 	case errors.Is(err, ErrNotApplied):
-		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: i.retryDelay(submission.Queue.Priority)}
+		return Outcome{Verdict: NotRun, Reason: "store away", RetryAfter: retryAfter}
 	}
 	if i.hasJob(submission.ID) {
 		return Outcome{Verdict: Accepted, Reason: "read back"}
--- a/batch/follower.go
+++ b/batch/follower.go
@@ -67,6 +67,7 @@
 	startDelay   time.Duration        // delay of the first read
 	wakeup       chan struct{}        // ends a pause; see wake
 	onFailure    func()               // called when a read fails
+	onRegained   func(time.Duration)  // called when a read succeeds after failures, with the time since contact; nil for none
 	pacer        *loadPacer           // of full reads; nil for no limit
 	margin       adaptiveTimeout      // of reads, beyond their wait
 
@@ -270,6 +271,9 @@
 func (f *follower) recordAnswer(sent time.Time) {
 	if f.failures > 0 {
 		f.log.WithField("stream", string(f.stream)).WithField("part", f.part).Info("store_regained")
+		if f.onRegained != nil {
+			f.onRegained(f.clock.Now().Sub(f.contactAt))
+		}
 	}
 	f.failures = 0
 	f.answeredAt = f.clock.Now()
--- /dev/null
+++ b/batch/handinwait.go
@@ -0,0 +1,54 @@
+package batch
+
+import "time"
+
+const (
+	// maxWaitShare is the share of a caller's time for which a hand-in may wait for the store. The
+	// rest is left for further tries at other instances: with two fifths for each, four tries span
+	// nine tenths of the time.
+	maxWaitShare = 0.4
+	// minWait is the shortest wait that is worth a try after it. An append takes some 10 ms.
+	minWait = 50 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time after which refused callers are told to return
+	// when it is learned from earlier outages.
+	minRetryAfter = time.Second
+	maxRetryAfter = 10 * time.Second
+)
+
+// waitingCall is a hand-in that could not be written, as far as the decision to wait depends on it.
+type waitingCall struct {
+	timeLeft time.Duration // of the caller, when the hand-in arrived
+	waited   time.Duration // since then
+}
+
+// outageView is what an instance knows of the outage that a hand-in meets.
+type outageView struct {
+	age       time.Duration // since the store last answered
+	remaining time.Duration // expected, by earlier outages; 0 if unknown
+	isolated  bool          // no other instance is reached either
+	draining  bool
+}
+
+// waitDecision is the decision on a hand-in that could not be written.
+type waitDecision struct {
+	wait       time.Duration // how long it may still wait; 0 for refuse now
+	retryAfter time.Duration // when a refused caller should return
+}
+
+// decideWait decides whether a hand-in that certainly was not written waits for the store. What is
+// known not to be served within its wait is refused at once.
+func decideWait(call waitingCall, outage outageView) waitDecision {
+	if outage.isolated || outage.draining {
+		return waitDecision{retryAfter: isolatedRetryAfter}
+	}
+	wait := time.Duration(maxWaitShare*float64(call.timeLeft)) - call.waited
+	switch {
+	case outage.remaining > wait:
+		return waitDecision{retryAfter: min(maxRetryAfter, max(minRetryAfter, outage.remaining))}
+	case wait < minWait && call.waited == 0:
+		return waitDecision{retryAfter: storeDownRetryAfter}
+	case wait < minWait:
+		return waitDecision{retryAfter: waitedRetryAfter}
+	}
+	return waitDecision{wait: wait}
+}
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -73,7 +73,9 @@
 	committers    []*committer // by part, starting at the first one for callers' records
 	peers         *peers
 	loadPacer     *loadPacer
-	delegations   delegations // sessions in which this instance is a delegate of the leader
+	waiting       *waitingRoom  // hand-ins that wait for the store
+	outages       outageLengths // of the store, as seen by this instance
+	delegations   delegations   // sessions in which this instance is a delegate of the leader
 	eventLog      *eventLog
 
 	draining       atomic.Bool
@@ -106,6 +108,7 @@
 	}
 	i.fold = newWorkFold(log)
 	i.peers = newPeers(i.clock)
+	i.waiting = newWaitingRoom()
 	i.eventLog = newEventLog(i.clock)
 	i.loadPacer = newLoadPacer(i.clock)
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, operatorStreamReadWait)
@@ -158,6 +161,9 @@
 // newWorkFollower follows one part of the work stream. All parts share one fold.
 func (i *Instance) newWorkFollower(part int) *follower {
 	f := i.newFollower(StreamWork, part, &i.foldLock, stateReadWait)
+	if part == statePart {
+		f.onRegained = i.outages.record
+	}
 	f.apply = func(batch Batch) { i.fold.apply(part, batch) }
 	f.readInterval = func() time.Duration { return i.workReadInterval(part) }
 	f.readWait = func() time.Duration { return i.workReadWait(part) }
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -18,6 +18,7 @@
 	ownWorkers     metrics.Gauge     // workers that the leader dispatches to itself
 	movingWorkers  metrics.Gauge     // workers in transfer between instances
 	evacuatedZones metrics.Gauge     // evacuated availability zones
+	waiting        metrics.Gauge     // hand-ins that wait for the store
 }
 
 func newInstruments(registry metrics.Registry) *instruments {
@@ -31,6 +32,7 @@
 	m.ownWorkers = metrics.NewRegisteredGauge("sharing.own_workers", registry)
 	m.movingWorkers = metrics.NewRegisteredGauge("sharing.moving", registry)
 	m.evacuatedZones = metrics.NewRegisteredGauge("zones.evacuated", registry)
+	m.waiting = metrics.NewRegisteredGauge("calls.waiting", registry)
 	m.appendTime = m.histogram("store.append_us")
 	m.submitTime = m.histogram("calls.submit_us")
 	m.startTime = m.histogram("workers.start_us")
