Calls in progress are answered in full before a process ends, with any grace period

Cause: the wait for calls is half of the grace period less 0.7 s, so with a grace of 1.4 s or less Shutdown got an expired context and all calls in progress were cut. A call may also take longer than the wait (up to 5 s, while the store is slow or away), and was then cut at its end.

Change: planShutdown divides any grace period; the reserve is at most a quarter of it. Shortly before the wait ends, the contexts of all calls end, so that each gets a complete and true answer.

--- a/batch/callparts.go
+++ b/batch/callparts.go
@@ -109,3 +109,32 @@
 	}
 	return true
 }
+
+// suspect records that a call to this part of the store went unanswered.
+func (f *follower) suspect() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.suspectedAt = f.clock.Now()
+}
+
+// startCheck reports whether the part may be read for a caller's record now: it is loaded and, if it is
+// away, was not read so within partCheckInterval.
+func (f *follower) startCheck() bool {
+	away := f.isAway()
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	now := f.clock.Now()
+	if !f.loaded || away && now.Sub(f.checkedAt) < partCheckInterval {
+		return false
+	}
+	f.checkedAt = now
+	return true
+}
+
+// isAway reports whether a call to this part of the store has failed and none that was sent since was
+// answered.
+func (f *follower) isAway() bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.failures > 0 || !f.suspectedAt.IsZero() && !f.contactAt.After(f.suspectedAt)
+}
--- a/command/front.go
+++ b/command/front.go
@@ -32,8 +32,10 @@
 	// checks.
 	loadBalancerRemovalDelay = 2500 * time.Millisecond
 	// shutdownReserve is the part of the grace period that is left after the wait for calls,
-	// to stop the relay and the instance and to close the servers; see stop.
+	// to stop the relay and the instance and to close the servers, and answerReserve the part of the
+	// wait that is left for the answers to calls that were ended; see planShutdown.
 	shutdownReserve = 700 * time.Millisecond
+	answerReserve   = 200 * time.Millisecond
 	// readTimeout bounds the reading of a request with its body, idleTimeout an idle
 	// connection of a caller.
 	readTimeout = 5 * time.Second
@@ -114,6 +116,7 @@
 	ready     *http.Server
 	metrics   *http.Server       // nil if metrics have no port of their own
 	stopRelay context.CancelFunc // nil while no calls of other instances are served
+	endCalls  context.CancelFunc // ends the contexts of all calls, which are then answered at once
 }
 
 func newFrontProcess(loaded *platform.Settings, log *logrus.Entry, metricsPort int) *frontProcess {
@@ -122,7 +125,9 @@
 	workers := platform.NewWorkers(loaded.AdviceAddress)
 	instance := batch.New(loaded.Settings, store, platform.Decoder{}, workers, registry, log)
 	log.Logger.AddHook(logPositionHook{instance})
+	callsContext, endCalls := context.WithCancel(context.Background())
 	process := &frontProcess{
+		endCalls: endCalls,
 		settings: loaded,
 		log:      log,
 		store:    store,
@@ -131,6 +136,7 @@
 		front:    &http.Server{Addr: loaded.FrontAddress, Handler: platform.FrontHandler(instance), ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
 		ready:    &http.Server{Addr: loaded.ReadyAddress, Handler: platform.ReadyHandler(instance, registry), ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
 	}
+	process.front.BaseContext = func(net.Listener) context.Context { return callsContext }
 	if metricsPort > 0 {
 		address := net.JoinHostPort(loaded.IP, strconv.Itoa(metricsPort))
 		process.metrics = &http.Server{Addr: address, Handler: platform.MetricsHandler(registry), ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
@@ -215,14 +221,30 @@
 	return nil
 }
 
+// shutdownTimes are the parts of the grace period in which a process stops.
+type shutdownTimes struct {
+	accept   time.Duration // still accepts connections
+	finish   time.Duration // then lets calls finish
+	endCalls time.Duration // part of finish after which calls are ended and answered at once
+}
+
+// planShutdown divides the grace period. Half of it, less a reserve, is for calls to finish.
+func planShutdown(grace time.Duration) shutdownTimes {
+	finish := grace/2 - min(shutdownReserve, grace/4)
+	return shutdownTimes{
+		accept:   min(loadBalancerRemovalDelay, grace/2),
+		finish:   finish,
+		endCalls: finish - min(answerReserve, finish/2),
+	}
+}
+
 // stop drains the instance, waits until the load balancer sends no more connections, lets
 // calls finish and stops within the grace period.
 func (p *frontProcess) stop() {
 	p.instance.Drain()
-	time.Sleep(min(loadBalancerRemovalDelay, p.settings.GracePeriod/2))
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GracePeriod/2-shutdownReserve)
-	defer cancel()
-	if err := p.front.Shutdown(ctx); err != nil {
+	times := planShutdown(p.settings.GracePeriod)
+	time.Sleep(times.accept)
+	if err := finishCalls(p.front, p.endCalls, times); err != nil {
 		p.log.WithField("error", err.Error()).Warn("calls_cut")
 	}
 	if p.stopRelay != nil {
@@ -234,3 +256,14 @@
 		p.metrics.Close()
 	}
 }
+
+// finishCalls closes the listener and waits for the calls in progress. Those that take longer are ended
+// in time for a complete answer: a caller cannot tell a cut connection from a job that runs.
+func finishCalls(server *http.Server, endCalls context.CancelFunc, times shutdownTimes) error {
+	ctx, cancel := context.WithTimeout(context.Background(), times.finish)
+	defer cancel()
+	timer := time.AfterFunc(times.endCalls, endCalls)
+	defer timer.Stop()
+	defer endCalls()
+	return server.Shutdown(ctx)
+}
