--- a/batch/waitingroom.go
+++ b/batch/waitingroom.go
@@ -119,7 +119,7 @@
 	}
 	w := &waiter{priority: submission.Queue.Priority, deadline: deadline, bytes: len(record.Value), displaced: make(chan struct{})}
 	if !i.waiting.enter(w) {
-		i.metrics.count("waiting.full")
+		i.metrics.count("calls.waited.full")
 		return storeDownRetryAfter, err
 	}
 	i.eventLog.write(i.log, "hand_in_waits", logrus.Fields{
@@ -145,7 +145,7 @@
 		call.waited = time.Since(arrived)
 		decision = decideWait(call, i.outageView())
 	}
-	i.metrics.count("waiting." + waitResult(err))
+	i.metrics.count("calls.waited." + waitResult(err))
 	return decision.retryAfter, err
 }
 
@@ -168,7 +168,7 @@
 	case <-timer.C:
 		return true
 	case <-w.displaced:
-		i.metrics.count("waiting.displaced")
+		i.metrics.count("calls.waited.displaced")
 	case <-ctx.Done():
 	}
 	return false
