A part is read before it is written to when the store has answered nothing for a while

After an append without an answer, and for parts that are away, all other parts are read at once, within 0.15 s, and the record goes to the first that answers. The wait counts from the arrival, and only callers that state a deadline wait.

--- a/batch/callparts.go
+++ b/batch/callparts.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,11 +13,16 @@
 )
 
 const (
-	// maxPartChecks bounds the parts that are read before one record is written. A read of a part that
-	// does not answer takes refreshTimeout.
-	maxPartChecks = 2
+	// otherPartCheckTimeout bounds the reads of the other parts when the usual one does not answer. All
+	// are read at once; reads take milliseconds.
+	otherPartCheckTimeout = 150 * time.Millisecond
+	// maxOtherParts bounds the other parts that a record is sent to.
+	maxOtherParts = 2
 	// partCheckInterval is how often a part that is away is read for callers' records.
 	partCheckInterval = 200 * time.Millisecond
+	// minEvidenceAge is the age up to which any answer of the store is evidence that it will answer an
+	// append: connections may also go silent, and waiting reads notice that late.
+	minEvidenceAge = 400 * time.Millisecond
 )
 
 // partsOf returns all parts that may hold callers' records about a subject, in the order in which
@@ -37,77 +44,137 @@
 	return list
 }
 
-// writeHere appends a caller's record to the first part that is likely to answer. ErrNotApplied
-// means that nothing was sent or that the store refused what was.
+// writeHere appends a caller's record to its usual part, or to another one if that does not answer.
+// ErrNotApplied means that nothing was sent or that the store refused what was.
 func (i *Instance) writeHere(ctx context.Context, record jobs.Record) error {
-	result := ErrNotApplied
-	checks := 0
-	for _, part := range partsOf(record.Subject(), i.settings.StoreParts) {
-		if ctx.Err() != nil {
-			break
+	parts := partsOf(record.Subject(), i.settings.StoreParts)
+	err := ErrNotApplied
+	if i.isAnswering(parts[0]) || i.answersCheck(ctx, parts[0]) {
+		err = i.writeTo(ctx, parts[0], record)
+	}
+	for range maxOtherParts {
+		unresolved := errors.Is(err, errStoreUnreachable)
+		if ctx.Err() != nil || !unresolved && !errors.Is(err, ErrNotApplied) {
+			return err
 		}
-		if !i.isAnswering(part) {
-			if checks == maxPartChecks || !i.followerOf(part).startCheck() {
-				continue
-			}
-			checks++
-			if !i.checkPart(ctx, part) {
-				continue
-			}
+		other, ok := i.firstAnswering(ctx, parts[1:], !unresolved)
+		if !ok {
+			return err
 		}
-		err := i.committerOf(part).write(ctx, record)
-		if err == nil {
-			return nil
+		otherErr := i.writeTo(ctx, other, record)
+		if otherErr != nil && unresolved {
+			return err // a refusal by this part says nothing of the append before
 		}
-		if !errors.Is(err, ErrResultUnknown) {
-			continue
+		err = otherErr
+	}
+	return err
+}
+
+// writeTo appends a record to a part.
+func (i *Instance) writeTo(ctx context.Context, part int, record jobs.Record) error {
+	err := i.committerOf(part).write(ctx, record)
+	if errors.Is(err, errStoreUnreachable) {
+		i.suspectPart(part)
+	}
+	return err
+}
+
+// firstAnswering returns the first of some parts that is likely to answer. If that is known of none, or is
+// not to be trusted as an append has just got no answer, all are read at once and the one that answers
+// first is returned.
+func (i *Instance) firstAnswering(ctx context.Context, parts []int, trusted bool) (part int, ok bool) {
+	for _, part := range parts {
+		if trusted && i.isAnswering(part) {
+			return part, true
 		}
-		result = err
-		if !errors.Is(err, errStoreUnreachable) {
-			break // the store is slow or loses answers
+	}
+	answered := make(chan int, len(parts))
+	var checks sync.WaitGroup
+	for _, part := range parts {
+		if i.followerOf(part).startCheck() {
+			checks.Go(func() {
+				if i.checkPart(context.WithoutCancel(ctx), part, otherPartCheckTimeout) {
+					answered <- part
+				}
+			})
 		}
-		i.followerOf(part).suspect()
 	}
-	return result
+	go func() {
+		checks.Wait()
+		close(answered)
+	}()
+	part, ok = <-answered
+	return part, ok
 }
 
 // isAnswering reports whether an append to a part is likely to be answered. The outcome of an append
 // to a part that has just become unreachable stays unknown, and its caller gets no definite
 // answer: 35 of some 1,200 submissions on days with an outage of the store for all instances. One
-// of the waiting reads fails at once in an outage, so after any failed read, and after an append
-// without an answer, the part is read before it is written to.
+// of the waiting reads fails at once in an outage, so after any failed read, after an append without an
+// answer, and when the store has answered nothing for a while, the part is read before it is written to.
 func (i *Instance) isAnswering(part int) bool {
 	f := i.followerOf(part)
 	if !i.work.isReachable() || f.isAway() || i.committerOf(part).storeUnresponsive(f.lastContact()) {
 		return false
 	}
-	return f.answeredSince(time.Unix(0, i.readFailedAt.Load()))
+	return f.answeredSince(time.Unix(0, i.readFailedAt.Load())) && i.hasEvidence(part)
+}
+
+// hasEvidence reports whether the store has answered any call lately, by the usual latency of appends.
+func (i *Instance) hasEvidence(part int) bool {
+	age := i.clock.Now().Sub(time.Unix(0, i.storeAnsweredAt.Load()))
+	return age <= max(minEvidenceAge, i.committerOf(part).timeout.currentIgnoringUnanswered())
 }
 
-// reachesStore reports whether any part for callers' records is likely to answer.
-func (i *Instance) reachesStore() bool {
+func (i *Instance) recordStoreAnswer() { i.storeAnsweredAt.Store(i.clock.Now().UnixNano()) }
+
+// reachesStore reports whether any part for callers' records is likely to answer. Without evidence it
+// reads one.
+func (i *Instance) reachesStore(ctx context.Context) bool {
 	for number := range i.committers {
 		if i.isAnswering(i.partOfCommitter(number)) {
 			return true
 		}
 	}
-	return false
+	part := i.partOfCommitter(rand.IntN(len(i.committers)))
+	return i.followerOf(part).startCheck() && i.checkPart(ctx, part, otherPartCheckTimeout)
 }
 
 func (i *Instance) partOfCommitter(number int) int {
 	return number + min(1, callPartCount(i.settings.StoreParts))
 }
 
+// answersCheck reads a part before it is written to and reports whether it answered. The call does not
+// wait for the read of a part that is known to be away.
+func (i *Instance) answersCheck(ctx context.Context, part int) bool {
+	f := i.followerOf(part)
+	away := f.isAway()
+	if !f.startCheck() {
+		return false
+	}
+	if away {
+		go i.checkPart(context.WithoutCancel(ctx), part, refreshTimeout)
+		return false
+	}
+	return i.checkPart(ctx, part, refreshTimeout)
+}
+
 // checkPart reads a part up to now and reports whether that succeeded.
-func (i *Instance) checkPart(ctx context.Context, part int) bool {
+func (i *Instance) checkPart(ctx context.Context, part int, timeout time.Duration) bool {
 	f := i.followerOf(part)
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	checkCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := f.refresh(ctx, 0); err != nil {
-		f.suspect()
-		return false
+	err := f.refresh(checkCtx, 0)
+	if err != nil && ctx.Err() == nil {
+		i.suspectPart(part)
 	}
-	return true
+	return err == nil
+}
+
+// suspectPart records that a part did not answer. The others have to be read before they are written to.
+func (i *Instance) suspectPart(part int) {
+	i.followerOf(part).suspect()
+	i.readFailedAt.Store(i.clock.Now().UnixNano())
 }
 
 // suspect records that a call to this part of the store went unanswered.
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -98,6 +98,7 @@
 	store            Store
 	clock            *Clock
 	readBack         readBackFunc // nil if appends cannot be read back
+	onAnswer         func()       // called when an append has succeeded; nil for none
 	part             int
 	queue            *ring.Ring[*commit]
 	timeout          adaptiveTimeout
@@ -207,6 +208,9 @@
 		return err
 	}
 	c.timeout.observe(c.clock.Now().Sub(sent))
+	if err == nil && c.onAnswer != nil {
+		c.onAnswer()
+	}
 	return err
 }
 
--- a/batch/follower.go
+++ b/batch/follower.go
@@ -67,6 +67,7 @@
 	startDelay   time.Duration        // delay of the first read
 	wakeup       chan struct{}        // ends a pause; see wake
 	onFailure    func()               // called when a read fails
+	onAnswer     func()               // called when a read was answered; nil for none
 	onRegained   func(time.Duration)  // called when a read succeeds after failures, with the time since contact; nil for none
 	pacer        *loadPacer           // of full reads; nil for no limit
 	margin       adaptiveTimeout      // of reads, beyond their wait
@@ -277,6 +278,9 @@
 	}
 	f.failures = 0
 	f.answeredAt = f.clock.Now()
+	if f.onAnswer != nil {
+		f.onAnswer()
+	}
 	if sent.After(f.contactAt) {
 		f.contactAt = sent
 	}
--- a/batch/handinwait.go
+++ b/batch/handinwait.go
@@ -17,6 +17,7 @@
 
 // waitingCall is a hand-in that could not be written, as far as the decision to wait depends on it.
 type waitingCall struct {
+	arrived  time.Time
 	timeLeft time.Duration // of the caller, when the hand-in arrived
 	waited   time.Duration // since then
 }
@@ -45,7 +46,7 @@
 	switch {
 	case outage.remaining > wait:
 		return waitDecision{retryAfter: min(maxRetryAfter, max(minRetryAfter, outage.remaining))}
-	case wait < minWait && call.waited == 0:
+	case wait < minWait && call.waited < minWait:
 		return waitDecision{retryAfter: storeDownRetryAfter}
 	case wait < minWait:
 		return waitDecision{retryAfter: waitedRetryAfter}
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -78,15 +78,16 @@
 	delegations   delegations   // sessions in which this instance is a delegate of the leader
 	eventLog      *eventLog
 
-	draining       atomic.Bool
-	leading        atomic.Bool
-	shardingStatus atomic.Pointer[ShardingStatus] // nil unless this instance is the leader
-	readFailedAt   atomic.Int64                   // time on clock, in nanoseconds, of the newest failed read of any stream
-	claimEpoch     atomic.Int64                   // epoch of the leader that requested a claim of its term
-	stalledAt      atomic.Int64                   // time on clock, in nanoseconds, when this instance, as leader, last failed to write progress
-	handOver       chan struct{}                  // closed when the term is to be handed over
-	lastClaim      jobs.Term                      // last term that this process claimed
-	claimSequence  int64
+	draining        atomic.Bool
+	leading         atomic.Bool
+	shardingStatus  atomic.Pointer[ShardingStatus] // nil unless this instance is the leader
+	readFailedAt    atomic.Int64                   // time on clock, in nanoseconds, of the newest failed read of any stream
+	storeAnsweredAt atomic.Int64                   // time on clock, in nanoseconds, of the newest answer of the store
+	claimEpoch      atomic.Int64                   // epoch of the leader that requested a claim of its term
+	stalledAt       atomic.Int64                   // time on clock, in nanoseconds, when this instance, as leader, last failed to write progress
+	handOver        chan struct{}                  // closed when the term is to be handed over
+	lastClaim       jobs.Term                      // last term that this process claimed
+	claimSequence   int64
 }
 
 // New returns an instance that has not been started.
@@ -153,6 +154,7 @@
 		lock:      lock,
 		wakeup:    make(chan struct{}, 1),
 		readWait:  func() time.Duration { return readWait },
+		onAnswer:  i.recordStoreAnswer,
 		onFailure: func() { i.readFailedAt.Store(i.clock.Now().UnixNano()) },
 		pacer:     i.loadPacer,
 	}
@@ -344,6 +346,7 @@
 
 func (i *Instance) newCommitter(part int) *committer {
 	c := newCommitter(i.store, i.clock, part)
+	c.onAnswer = i.recordStoreAnswer
 	c.readBack = func(ctx context.Context, records []jobs.Record) (bool, error) { return i.inLog(ctx, part, records) }
 	return c
 }
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -238,7 +238,7 @@
 // relayedLookUp answers whether this instance reaches the store if no job is named.
 func (i *Instance) relayedLookUp(ctx context.Context, id string) *relaypb.Answer {
 	if id == "" {
-		return &relaypb.Answer{Looked: i.reachesStore()}
+		return &relaypb.Answer{Looked: i.reachesStore(ctx)}
 	}
 	if !i.isLoaded() || !i.work.isReachable() {
 		return &relaypb.Answer{}
--- a/batch/waitingroom.go
+++ b/batch/waitingroom.go
@@ -101,18 +101,32 @@
 	return len(r.waiters)
 }
 
+type statedDeadlineKey struct{}
+
+// WithStatedDeadline marks that the deadline of ctx is the one that the caller has stated. Only then may
+// the call wait for the store.
+func WithStatedDeadline(ctx context.Context) context.Context {
+	return context.WithValue(ctx, statedDeadlineKey{}, true)
+}
+
+func statedDeadline(ctx context.Context) (time.Time, bool) {
+	deadline, ok := ctx.Deadline()
+	return deadline, ok && ctx.Value(statedDeadlineKey{}) != nil
+}
+
 // handIn writes the record of a submission. While no part of the store answers, it waits as decideWait
 // says. If it was not written it returns when the caller should retry.
 func (i *Instance) handIn(ctx context.Context, submission *jobs.Submission, record jobs.Record) (retryAfter time.Duration, err error) {
+	arrived := time.Now()
 	err = i.writeRecord(ctx, record)
 	if !errors.Is(err, ErrNotApplied) {
 		return 0, err
 	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
+	deadline, stated := statedDeadline(ctx)
+	if !stated {
 		return i.retryDelay(submission.Queue.Priority), err
 	}
-	call := waitingCall{timeLeft: time.Until(deadline)}
+	call := waitingCall{arrived: arrived, timeLeft: deadline.Sub(arrived), waited: time.Since(arrived)}
 	decision := decideWait(call, i.outageView())
 	if decision.wait == 0 {
 		return decision.retryAfter, err
@@ -135,14 +149,13 @@
 // writeWhileWaiting tries to write the record of a hand-in in the waiting room until its wait is over.
 func (i *Instance) writeWhileWaiting(ctx context.Context, w *waiter, call waitingCall, decision waitDecision, record jobs.Record) (retryAfter time.Duration, err error) {
 	i.metrics.waiting.Update(int64(i.waiting.size()))
-	arrived := time.Now()
 	err = ErrNotApplied
 	for errors.Is(err, ErrNotApplied) && decision.wait > 0 {
 		if !i.pauseInWaitingRoom(ctx, w, min(decision.wait, waitRetryInterval)) {
 			return storeDownRetryAfter, err
 		}
 		err = i.writeRecord(ctx, record)
-		call.waited = time.Since(arrived)
+		call.waited = time.Since(call.arrived)
 		decision = decideWait(call, i.outageView())
 	}
 	i.metrics.count("calls.waited." + waitResult(err))
