--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -193,6 +193,23 @@
 	f.checkLogLines(id, "verdict=not_run", "retry_after_ms=2000")
 }
 
+// While some parts of the store are away for all instances, jobs must be accepted and done as before.
+func TestPlatformAcceptsJobsWhilePartsOfTheStoreAreAway(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.store.SetFaults(standin.StoreFaults{AwayParts: 1<<1 | 1<<2 | 1<<4})
+	for number := range 12 {
+		id := fmt.Sprintf("%016x", 0xa0+number)
+		if status, body := f.call(f.instances[number%2], http.MethodPost, id, "key-a", smallJob); status != http.StatusOK {
+			t.Errorf("submission of %s: %d %s", id, status, body)
+		}
+	}
+	for number := range 12 {
+		id := fmt.Sprintf("%016x", 0xa0+number)
+		f.waitUntil("done: "+id, func() bool { return f.jobState(f.instances[number%2], id) == "done" })
+	}
+	f.store.SetFaults(standin.StoreFaults{})
+}
+
 // A leader that is stopped gracefully must hand over the term and exit by itself within its grace
 // period. The other instance must keep serving.
 func TestPlatformGracefulStop(t *testing.T) {
--- a/e2e/storm_faults_test.go
+++ b/e2e/storm_faults_test.go
@@ -108,9 +108,11 @@
 // drawStoreFault draws a fault of the store.
 func (s *storm) drawStoreFault() func(time.Duration) {
 	faults := standin.StoreFaults{Retain: stormRetention}
-	switch s.random.IntN(4) {
+	switch s.random.IntN(5) {
 	case 0:
 		faults.Down = true
+	case 4:
+		faults.AwayParts = 1 + s.random.Uint64N(1<<fleetStoreParts-1)
 	case 1:
 		faults.LoseAnswers = 1 + s.random.IntN(4)
 		faults.Retain = 5 + s.random.IntN(20)
--- a/standin/keyedstore.go
+++ b/standin/keyedstore.go
@@ -18,9 +18,11 @@
 
 // StoreFaults are the faults that a KeyedStore injects.
 type StoreFaults struct {
-	Down        bool // every call is refused without effect
-	LoseAnswers int  // number of appends that take effect and get no answer
-	Retain      int  // newest records retained for reading in each partition; 0 retains all
+	Down bool // every call is refused without effect
+	// AwayParts is a bit set of partitions. Calls to them have no effect, and their connections break.
+	AwayParts   uint64
+	LoseAnswers int // number of appends that take effect and get no answer
+	Retain      int // newest records retained for reading in each partition; 0 retains all
 	// Slow delays each call before it is processed.
 	Slow time.Duration
 	// LateAppends is the number of appends that get no answer and are applied after
@@ -68,13 +70,17 @@
 // ServeHTTP implements http.Handler.
 func (s *KeyedStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down, slow := s.faults.Down, s.faults.Slow
+	down, slow, awayParts := s.faults.Down, s.faults.Slow, s.faults.AwayParts
 	s.mu.Unlock()
 	time.Sleep(slow)
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	part, err := strconv.Atoi(r.URL.Query().Get("part"))
+	if err == nil && awayParts&(1<<part) != 0 {
+		panic(http.ErrAbortHandler)
+	}
 	s.router.ServeHTTP(w, r)
 }
 
