--- a/batch/handinwait.go
+++ b/batch/handinwait.go
@@ -20,6 +20,7 @@
 	arrived  time.Time
 	timeLeft time.Duration // of the caller, when the hand-in arrived
 	waited   time.Duration // since then
+	spread   float64       // of the call among others, from 0 to 1
 }
 
 // outageView is what an instance knows of the outage that a hand-in meets.
@@ -45,7 +46,7 @@
 	wait := time.Duration(maxWaitShare*float64(call.timeLeft)) - call.waited
 	switch {
 	case outage.remaining > wait:
-		return waitDecision{retryAfter: min(maxRetryAfter, max(minRetryAfter, outage.remaining))}
+		return waitDecision{retryAfter: spreadRetryAfter(max(minRetryAfter, outage.remaining), call.spread)}
 	case wait < minWait && call.waited < minWait:
 		return waitDecision{retryAfter: storeDownRetryAfter}
 	case wait < minWait:
@@ -53,3 +54,8 @@
 	}
 	return waitDecision{wait: wait}
 }
+
+// spreadRetryAfter returns a time up to a quarter longer, so that refused callers do not return together.
+func spreadRetryAfter(earliest time.Duration, spread float64) time.Duration {
+	return min(maxRetryAfter, earliest+time.Duration(spread*float64(earliest)/4))
+}
--- a/batch/handinwait_test.go
+++ b/batch/handinwait_test.go
@@ -34,6 +34,7 @@
 		call := waitingCall{
 			timeLeft: time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "timeLeft")),
 			waited:   time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "waited")),
+			spread:   rapid.Float64Range(0, 1).Draw(t, "spread"),
 		}
 		outage := outageView{
 			age:       time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "age")),
@@ -51,6 +52,15 @@
 	})
 }
 
+// Guards against callers that all return at the moment at which the outage is expected to end.
+func TestRefusedCallersDoNotReturnTogether(t *testing.T) {
+	is := is.New(t)
+	first := decideWait(waitingCall{timeLeft: 3 * time.Second}, outageView{remaining: 4 * time.Second})
+	last := decideWait(waitingCall{timeLeft: 3 * time.Second, spread: 1}, outageView{remaining: 4 * time.Second})
+	is.Equal(first.retryAfter, 4*time.Second)
+	is.Equal(last.retryAfter, 5*time.Second)
+}
+
 func TestLengthsOfOutagesAreLearned(t *testing.T) {
 	is := is.New(t)
 	var outages outageLengths
--- a/batch/waitingroom.go
+++ b/batch/waitingroom.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
@@ -126,7 +128,12 @@
 	if !stated {
 		return i.retryDelay(submission.Queue.Priority), err
 	}
-	call := waitingCall{arrived: arrived, timeLeft: deadline.Sub(arrived), waited: time.Since(arrived)}
+	call := waitingCall{
+		arrived:  arrived,
+		timeLeft: deadline.Sub(arrived),
+		waited:   time.Since(arrived),
+		spread:   float64(xxhash.Sum64String(submission.ID)) / math.MaxUint64,
+	}
 	decision := decideWait(call, i.outageView())
 	if decision.wait == 0 {
 		return decision.retryAfter, err
