--- a/batch/follower.go
+++ b/batch/follower.go
@@ -70,6 +70,8 @@
 	startDelay   time.Duration        // delay of the first read
 	wakeup       chan struct{}        // ends a pause; see wake
 	onFailure    func()               // called when a read fails
+	onAnswer     func()               // called when a read was answered; nil for none
+	onRegained   func(time.Duration)  // called when a read succeeds after failures, with the time since contact; nil for none
 	pacer        *loadPacer           // of full reads; nil for no limit
 	margin       adaptiveTimeout      // of reads, beyond their wait
 
@@ -82,6 +84,8 @@
 	steadySince     time.Time               // since when every read was answered
 	cancelRead      context.CancelCauseFunc // ends the read in progress
 	failures        int                     // consecutive failed reads
+	suspectedAt     time.Time               // when a call for a caller's record last went unanswered
+	checkedAt       time.Time               // when it was last read for a caller's record
 }
 
 // run follows the stream until ctx ends.
@@ -288,12 +292,18 @@
 func (f *follower) recordAnswer(sent time.Time) {
 	if f.failures > 0 {
 		f.log.WithField("stream", string(f.stream)).WithField("part", f.part).Info("store_regained")
+		if f.onRegained != nil {
+			f.onRegained(f.clock.Now().Sub(f.contactAt))
+		}
 	}
 	f.answeredAt = f.clock.Now()
 	if f.failures > 0 || f.steadySince.IsZero() {
 		f.steadySince = f.answeredAt
 	}
 	f.failures = 0
+	if f.onAnswer != nil {
+		f.onAnswer()
+	}
 	if sent.After(f.contactAt) {
 		f.contactAt = sent
 	}
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -74,19 +74,22 @@
 	committers    []*committer // by part, starting at the first one for callers' records
 	peers         *peers
 	loadPacer     *loadPacer
-	delegations   delegations // sessions in which this instance is a delegate of the leader
+	waiting       *waitingRoom  // hand-ins that wait for the store
+	outages       outageLengths // of the store, as seen by this instance
+	delegations   delegations   // sessions in which this instance is a delegate of the leader
 	eventLog      *eventLog
 
-	draining       atomic.Bool
-	leading        atomic.Bool
-	shardingStatus atomic.Pointer[ShardingStatus]       // nil unless this instance is the leader
-	speedsStatus   atomic.Pointer[placing.SpeedsStatus] // as shardingStatus
-	readFailedAt   atomic.Int64                         // time on clock, in nanoseconds, of the newest failed read of any stream
-	claimEpoch     atomic.Int64                         // epoch of the leader that requested a claim of its term
-	stalledAt      atomic.Int64                         // time on clock, in nanoseconds, when this instance, as leader, last failed to write progress
-	handOver       chan struct{}                        // closed when the term is to be handed over
-	lastClaim      jobs.Term                            // last term that this process claimed
-	claimSequence  int64
+	draining        atomic.Bool
+	leading         atomic.Bool
+	shardingStatus  atomic.Pointer[ShardingStatus]       // nil unless this instance is the leader
+	speedsStatus    atomic.Pointer[placing.SpeedsStatus] // as shardingStatus
+	readFailedAt    atomic.Int64                         // time on clock, in nanoseconds, of the newest failed read of any stream
+	storeAnsweredAt atomic.Int64                         // time on clock, in nanoseconds, of the newest answer of the store
+	claimEpoch      atomic.Int64                         // epoch of the leader that requested a claim of its term
+	stalledAt       atomic.Int64                         // time on clock, in nanoseconds, when this instance, as leader, last failed to write progress
+	handOver        chan struct{}                        // closed when the term is to be handed over
+	lastClaim       jobs.Term                            // last term that this process claimed
+	claimSequence   int64
 }
 
 // New returns an instance that has not been started.
@@ -108,6 +111,7 @@
 	}
 	i.fold = newWorkFold(log)
 	i.peers = newPeers(i.clock)
+	i.waiting = newWaitingRoom()
 	i.eventLog = newEventLog(i.clock)
 	i.loadPacer = newLoadPacer(i.clock)
 	i.operator = i.newFollower(StreamOperator, 0, &sync.Mutex{}, operatorStreamReadWait)
@@ -152,6 +156,7 @@
 		lock:      lock,
 		wakeup:    make(chan struct{}, 1),
 		readWait:  func() time.Duration { return readWait },
+		onAnswer:  i.recordStoreAnswer,
 		onFailure: func() { i.readFailedAt.Store(i.clock.Now().UnixNano()) },
 		pacer:     i.loadPacer,
 	}
@@ -160,6 +165,9 @@
 // newWorkFollower follows one part of the work stream. All parts share one fold.
 func (i *Instance) newWorkFollower(part int) *follower {
 	f := i.newFollower(StreamWork, part, &i.foldLock, stateReadWait)
+	if part == statePart {
+		f.onRegained = i.outages.record
+	}
 	f.apply = func(batch Batch) { i.fold.apply(part, batch) }
 	f.readInterval = func() time.Duration { return i.workReadInterval(part) }
 	f.readWait = func() time.Duration { return i.workReadWait(part) }
@@ -340,15 +348,13 @@
 
 func (i *Instance) newCommitter(part int) *committer {
 	c := newCommitter(i.store, i.clock, part)
+	c.onAnswer = i.recordStoreAnswer
 	c.readBack = func(ctx context.Context, records []jobs.Record) (bool, error) { return i.inLog(ctx, part, records) }
 	return c
 }
 
-// committerFor returns the committer that appends a caller's record.
-func (i *Instance) committerFor(record jobs.Record) *committer {
-	part := partOf(record.Subject(), i.settings.StoreParts)
-	return i.committers[max(0, part-1)]
-}
+// committerOf returns the committer that appends to a part.
+func (i *Instance) committerOf(part int) *committer { return i.committers[max(0, part-1)] }
 
 // followerOf returns the follower of a part of the work stream.
 func (i *Instance) followerOf(part int) *follower {
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -20,6 +20,7 @@
 	evacuatedZones metrics.Gauge     // evacuated availability zones
 	knownSpeeds    metrics.Gauge     // workers whose speed the leader has an estimate of
 	unknownSpeeds  metrics.Gauge     // workers whose speed it does not know
+	waiting        metrics.Gauge     // hand-ins that wait for the store
 }
 
 func newInstruments(registry metrics.Registry) *instruments {
@@ -35,6 +36,7 @@
 	m.evacuatedZones = metrics.NewRegisteredGauge("zones.evacuated", registry)
 	m.knownSpeeds = metrics.NewRegisteredGauge("speeds.known", registry)
 	m.unknownSpeeds = metrics.NewRegisteredGauge("speeds.unknown", registry)
+	m.waiting = metrics.NewRegisteredGauge("calls.waiting", registry)
 	m.appendTime = m.histogram("store.append_us")
 	m.submitTime = m.histogram("calls.submit_us")
 	m.startTime = m.histogram("workers.start_us")
--- a/command/grace_test.go
+++ b/command/grace_test.go
@@ -11,9 +11,9 @@
 func TestEveryGracePeriodLeavesCallsTime(t *testing.T) {
 	is := is.New(t)
 	for grace := 100 * time.Millisecond; grace <= 20*time.Second; grace += 100 * time.Millisecond {
-		calls := callTimeout(grace)
-		is.True(calls >= grace/4)
-		is.True(min(loadBalancerRemovalDelay, grace/2)+calls < grace) // some of it is left to stop
+		times := planShutdown(grace)
+		is.True(times.finish >= grace/4)
+		is.True(times.accept+times.finish < grace) // some of it is left to stop
 	}
-	is.Equal(callTimeout(6*time.Second), 2300*time.Millisecond)
+	is.Equal(planShutdown(6*time.Second).finish, 2300*time.Millisecond)
 }
