Urgent work that will be late gives way to urgent work that can be in time

Cause: urgent work was ordered by value for room and then by deadline, so with more of it than room the queue always served what was just about to be late, and all of it ended a little late. Change: within urgent work, guaranteed work whose time runs short goes first, then guaranteed work, then what has a quarter of its remaining work to spare, then the rest. What counted as late needs twice as much to spare to count as in time again. Late work keeps its place before other work.

--- a/placing/job.go
+++ b/placing/job.go
@@ -25,9 +25,10 @@
 
 // occurrence is one execution of the steps of a job.
 type occurrence struct {
-	scheduledMS    int64 // time of day; 0: at once
-	steps          []*step
-	remainingTasks int // tasks not done
+	scheduledMS     int64 // time of day; 0: at once
+	steps           []*step
+	remainingTasks  int  // tasks not done
+	missesObjective bool // its newest estimate was late, see late_work.go
 }
 
 // step is one step of an occurrence. The tasks of a gang are placed and ended together, and
--- /dev/null
+++ b/placing/late_work.go
@@ -0,0 +1,35 @@
+package placing
+
+import "time"
+
+// The load that this file answers: more urgent work than room for some seconds. A queue that serves
+// all alike then makes all of it a little late, and callers get little from any of it. So urgent
+// work that will be late in any case gives way to urgent work that can still be in time. It keeps
+// its place before all other work, and within its workspace's guarantee it begins in time whatever
+// waits beside it.
+
+// missMargin is the share of the remaining work that a job must have to spare to count as able to
+// be in time. Callers' estimates are off by up to half either way, and what is started with nothing
+// to spare is late as often as not. It is given room before others only if that is likely to help.
+const missMargin = 0.25
+
+// updateMissesObjective reports whether an occurrence that would finish at the given time, if it
+// started now, has too little to spare to be in time. Once it counts as late it needs twice as much
+// to count as in time again, so that it does not change its place with each estimate.
+func (o *occurrence) updateMissesObjective(finish, deadline time.Time, remaining time.Duration) bool {
+	margin := time.Duration(missMargin * float64(remaining))
+	if o.missesObjective {
+		margin *= 2
+	}
+	o.missesObjective = finish.Add(margin).After(deadline)
+	return o.missesObjective
+}
+
+// guaranteeStartMargin is the time to record a placement and to start its tasks.
+const guaranteeStartMargin = 200 * time.Millisecond
+
+// maxGuaranteeDelay returns how long a guaranteed step may wait for room that costs less than it is
+// worth. The rest of the reclaim time is for two tries to stop others at any cost.
+func (e *Engine) maxGuaranteeDelay() time.Duration {
+	return max(0, e.limits.ReclaimTimeout-2*(e.limits.MaxStopTime+reservationSlack)-guaranteeStartMargin)
+}
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -52,6 +52,8 @@
 	now               time.Time       // time of the pass
 	deferrable        bool            // can finish on time though other work goes first; see reserveHeadroom
 	guaranteed        bool            // must start within the reclaim time
+	due               bool            // guaranteed, and the time for it runs short, see maxGuaranteeDelay
+	missesObjective   bool            // urgent and expected to be late, see late_work.go
 	isolated          bool            // suspect; gets a worker to itself
 	emptyOnly         bool            // isolated and limited to empty workers that have not recently restarted
 	avoidWorker       string          // worker that is used only if no other fits
@@ -131,9 +133,15 @@
 	if a.tier != b.tier {
 		return a.tier < b.tier
 	}
+	if a.due != b.due {
+		return a.due
+	}
 	if a.guaranteed != b.guaranteed {
 		return a.guaranteed
 	}
+	if a.missesObjective != b.missesObjective {
+		return b.missesObjective
+	}
 	if a.density != b.density {
 		return a.density > b.density
 	}
@@ -160,6 +168,7 @@
 		}
 		u := ranked
 		u.step = step
+		u.due = u.guaranteed && now.Sub(step.readyAt) >= e.maxGuaranteeDelay()
 		u.tasks = tasks
 		if step.hasSuspects {
 			units = e.appendSuspects(units, &u, now)
@@ -264,6 +273,9 @@
 	u.deferrable = u.tier == tierOnTime && u.deadline.Sub(finish) > time.Duration(minSpareShare*float64(finish.Sub(now)))
 	u.density = e.density(job, occurrence)
 	u.guaranteed = u.tier == tierUrgent && e.withinGuarantee(job)
+	if u.tier == tierUrgent {
+		u.missesObjective = occurrence.updateMissesObjective(finish, u.deadline, finish.Sub(now))
+	}
 	return u
 }
 
