Work is stopped at any cost only when a guarantee's time runs short

Cause: urgent work within its guarantee stopped others at once, whatever that cost, though it has seconds to begin; and work beyond it stopped as much for a late result as for one in time. Change: until its time runs short (two tries to stop, and the start, still fit in the reclaim time) guaranteed work stops only what its job outweighs, as other urgent work does; a late job counts for a fifth of its value.

--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -313,14 +313,20 @@
 	return (lowerPriority || overGuarantee) && !r.task.step.spec.LongRunning && r.stopSentAt.IsZero() && r.task.run == r
 }
 
-// justifiesLoss allows any loss within the workspace's guarantee, and beyond it as much as the
-// value of the job covers.
+// justifiesLoss reports whether a unit may stop the given victims: within its workspace's guarantee at
+// any cost once its time runs short, else for as much as its job still gains by it.
 func (e *Engine) justifiesLoss(unit *unit, victims []victim) bool {
+	if unit.due {
+		return true
+	}
 	loss := 0.0
 	for _, victim := range victims {
 		loss += victim.loss
 	}
 	work := e.coreSeconds(unit.job, unit.occurrence, false)
 	value := baseValue*e.meanWork(unit.job, work) + workValue*work
-	return loss <= maxLossFactor*value || unit.guaranteed
+	if unit.missesObjective {
+		value *= lateValueShare
+	}
+	return loss <= maxLossFactor*value
 }
