--- a/placing/job.go
+++ b/placing/job.go
@@ -25,9 +25,10 @@
 
 // occurrence is one execution of the steps of a job.
 type occurrence struct {
-	scheduledMS    int64 // time of day; 0: at once
-	steps          []*step
-	remainingTasks int // tasks not done
+	scheduledMS     int64 // time of day; 0: at once
+	steps           []*step
+	remainingTasks  int  // tasks not done
+	missesObjective bool // its newest estimate was late, see late_work.go
 }
 
 // step is one step of an occurrence. The tasks of a gang are placed and ended together, and
@@ -62,6 +63,7 @@
 	losses             losses
 	startBackoff       startBackoff
 	stalls             int       // runs that were stopped as stalled
+	roomStops          int       // runs that were stopped for room; of a gang, counted at its first member
 	ampleCapacitySince time.Time // since when it has waited despite ample free capacity; zero: it does not
 	lastRunEndedAt     time.Time // when its last run that started, or may have, ended
 }
