Guaranteed work stops others at once, as before

Change: it stops others at any cost from the beginning, as before; that a late urgent job counts for a fifth of its value stays.

--- a/placing/late_work.go
+++ b/placing/late_work.go
@@ -13,8 +13,8 @@
 // to spare is late as often as not. It is given room before others only if that is likely to help.
 const missMargin = 0.25
 
-// lateValueShare is what a late result of urgent work is worth to its caller, of one in time: who
-// waits at a counter has mostly left.
+// lateValueShare is the value of a late result of urgent work, as a share of that of one in time: its
+// caller has mostly stopped waiting.
 const lateValueShare = 0.2
 
 // updateMissesObjective reports whether an occurrence that would finish at the given time, if it
@@ -32,8 +32,8 @@
 // guaranteeStartMargin is the time to record a placement and to start its tasks.
 const guaranteeStartMargin = 200 * time.Millisecond
 
-// maxGuaranteeDelay returns how long a guaranteed step may wait for room that costs less than it is
-// worth. The rest of the reclaim time is for two tries to stop others at any cost.
+// maxGuaranteeDelay returns how long a guaranteed step may wait behind other guaranteed work that is
+// worth more for its room. The rest of the reclaim time is for two tries to stop others.
 func (e *Engine) maxGuaranteeDelay() time.Duration {
 	return max(0, e.limits.ReclaimTimeout-2*(e.limits.MaxStopTime+reservationSlack)-guaranteeStartMargin)
 }
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -314,9 +314,9 @@
 }
 
 // justifiesLoss reports whether a unit may stop the given victims: within its workspace's guarantee at
-// any cost once its time runs short, else for as much as its job still gains by it.
+// any cost, else for as much as its job still gains by it.
 func (e *Engine) justifiesLoss(unit *unit, victims []victim) bool {
-	if unit.due {
+	if unit.guaranteed {
 		return true
 	}
 	loss := 0.0
