A job counts as started once a task has started, not once it is placed

Cause: the state running was written with the placement. Placed on workers that had gone dark, the jobs' starts were never answered, and none of their tasks began before the leases had lapsed. Since a gang is stopped as soon as one start is not answered, its other members do not begin either, so it shows more often. Change: the state follows from an accepted start or a report of the run. It is written with the next append of states (within a renewal), before states that are emitted later, so it never comes after an end and costs no call. A next leader takes it over if the progress on record is older. Ruled out: taking the state back when a start is given up, as the job would count as started for up to three seconds each time.

--- a/batch/leader.go
+++ b/batch/leader.go
@@ -330,6 +330,7 @@
 	for _, logEvent := range plan.LogEvents {
 		l.logDecision(logEvent)
 	}
+	l.writer.queueStates(plan.StartedStates)
 	if len(plan.Records) > 0 {
 		l.writer.enqueue(plan.Records, plan.States)
 	}
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -35,7 +35,7 @@
 	statesLock   chan struct{} // semaphore held while states are appended
 
 	lock        sync.Mutex
-	earlyStates []jobs.Record // final states that do not wait for a group
+	earlyStates []jobs.Record // states that do not wait for a group
 	term        jobs.Term
 	renewNow    bool      // renew the term regardless of the time
 	stalled     bool      // progress cannot be written
@@ -89,15 +89,21 @@
 // enqueueEarly queues final states that are written although a group of progress is in flight. If
 // none is in flight anymore, they go with the next group, which has the progress of the same jobs.
 func (w *fencedWriter) enqueueEarly(states []jobs.Record) {
-	w.lock.Lock()
-	w.earlyStates = append(w.earlyStates, states...)
-	w.lock.Unlock()
+	w.queueStates(states)
 	select {
 	case w.earlySignal <- struct{}{}:
 	default:
 	}
 }
 
+// queueStates queues states that are written with the next group or renewal, before the states of
+// that group.
+func (w *fencedWriter) queueStates(states []jobs.Record) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.earlyStates = append(w.earlyStates, states...)
+}
+
 func (w *fencedWriter) takeEarly() []jobs.Record {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -222,7 +228,7 @@
 	if err != nil {
 		panic("batch: a term cannot be encoded: " + err.Error())
 	}
-	group := slices.Concat([]jobs.Record{renewal}, states, w.takeEarly())
+	group := slices.Concat([]jobs.Record{renewal}, w.takeEarly(), states)
 	if err := w.states.append(ctx, group); err != nil {
 		return err
 	}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -122,7 +122,7 @@
 	return counts
 }
 
-// QueuedCount returns the number of a queue's jobs in StateQueued: no task of them was placed yet.
+// QueuedCount returns the number of a queue's jobs in StateQueued: no task of them has started yet.
 func (t *Table) QueuedCount(queue string) int {
 	count := 0
 	for _, job := range t.jobs {
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -40,6 +40,7 @@
 	pendingRuns          []*run        // placed, their record not yet sent
 	recordingRuns        []*run        // placed, their record in flight
 	changedJobs          []*job        // dirty, in the order of their changes
+	startedJobs          []*job        // became running, state not yet emitted
 	groupLimit           int           // bytes of records that end a group
 	startLimit           int           // starts that can be sent soon
 	stopDelay            time.Duration // until the end of a stopped run is known, moving average
@@ -124,7 +125,10 @@
 	States  []jobs.Record // states, to be appended after Records; then call MarkRecordsDurable
 	// EarlyStates are final states to be appended at once, though a group is in
 	// flight: a final state is valid without its progress.
-	EarlyStates    []jobs.Record
+	EarlyStates []jobs.Record
+	// StartedStates are states of jobs that have started, to be appended with the next append, before
+	// the EarlyStates and States of this and later plans: the newest state of a job counts.
+	StartedStates  []jobs.Record
 	Starts         []Start          // to be sent
 	Stops          []Stop           // to be sent
 	Acks           map[string]int64 // by worker: ends up to this number may be forgotten
@@ -265,8 +269,21 @@
 	return plan
 }
 
+// emitStartedStates emits the states of jobs of which a task has started. They need no progress: the
+// placements are on record.
+func (e *Engine) emitStartedStates() {
+	for _, job := range e.startedJobs {
+		if job.state == jobs.StateRunning && job.recordedState != jobs.StateRunning {
+			e.plan.StartedStates = append(e.plan.StartedStates, jobs.StateRecord(job.submission.ID, job.state))
+			job.recordedState = job.state
+		}
+	}
+	e.startedJobs = nil
+}
+
 // flushRecords emits one group of records, unless one is in flight.
 func (e *Engine) flushRecords(now time.Time) {
+	e.emitStartedStates()
 	if e.recordsInFlight && now.Sub(e.recordsSentAt) >= earlyStateDelay {
 		e.emitEarlyStates()
 	}
--- a/placing/job.go
+++ b/placing/job.go
@@ -209,6 +209,9 @@
 	if stored.Progress != nil {
 		e.restoreProgress(job, stored.Progress)
 	}
+	if stored.RecordedState == jobs.StateRunning && job.state == jobs.StateQueued {
+		job.state = jobs.StateRunning // it started after its newest progress was recorded
+	}
 	if stored.RecordedState.Final() && !job.state.Final() {
 		// The former leader did not write its progress, or that was dropped.
 		e.finish(job, stored.RecordedState, "", now)
--- a/placing/report.go
+++ b/placing/report.go
@@ -88,6 +88,7 @@
 	if !run.seen {
 		run.seen = true
 		run.unconfirmed = false
+		e.markRunning(run.task.step.job)
 		if run.phase == phaseOrdered {
 			e.startAccepted(run, now)
 		}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -38,11 +38,7 @@
 	task.lastRun = number
 	node.addRun(run)
 	e.pendingRuns = append(e.pendingRuns, run)
-	job := task.step.job
-	if job.state == jobs.StateQueued {
-		job.state = jobs.StateRunning
-	}
-	e.markDirty(job)
+	e.markDirty(task.step.job)
 }
 
 // dropUnfit ends a run whose placement is on record if its worker may not take it any more, and with it
@@ -108,12 +104,23 @@
 	run.phase = phaseRunning
 	run.startedAt = now
 	run.percentAt = now
+	e.markRunning(run.task.step.job)
 	run.task.ampleCapacitySince = time.Time{}
 	if !run.task.step.spec.LongRunning {
 		run.task.startBackoff = startBackoff{}
 	}
 }
 
+// markRunning gives a job that waited the state running. A placement does not: its start may never be
+// answered, and until a task has started the job counts as waiting.
+func (e *Engine) markRunning(job *job) {
+	if job.state != jobs.StateQueued {
+		return
+	}
+	job.state = jobs.StateRunning
+	e.startedJobs = append(e.startedJobs, job)
+}
+
 // startRefused ends a run whose start was refused, and applies the reason to its worker or task.
 func (e *Engine) startRefused(run *run, result StartResult, now time.Time) {
 	if run.seen {
