Records of a job are kept while a part that may hold a copy of them is away

A leader that deletes the records of an ended job while a part was never read could leave a copy there, which a later leader would take for a new job. Expiry now waits for a time at which all parts are read.

--- a/batch/callparts.go
+++ b/batch/callparts.go
@@ -177,6 +177,17 @@
 	i.readFailedAt.Store(i.clock.Now().UnixNano())
 }
 
+// partAway returns a part for callers' records that is away, if any is.
+func (i *Instance) partAway() (part int, away bool) {
+	for number := range i.committers {
+		part = i.partOfCommitter(number)
+		if i.followerOf(part).isAway() {
+			return part, true
+		}
+	}
+	return 0, false
+}
+
 // suspect records that a call to this part of the store went unanswered.
 func (f *follower) suspect() {
 	f.lock.Lock()
--- a/batch/expire.go
+++ b/batch/expire.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/teaselcleat/teaselcleat/jobs"
 )
 
@@ -24,6 +26,9 @@
 	if job == nil {
 		return nil
 	}
+	if part, away := i.partAway(); away {
+		return eris.Errorf("part %d is away and may hold a copy", part)
+	}
 	for part := range i.settings.StoreParts {
 		if job.Parts&(1<<part) == 0 {
 			continue
