A hand-in that has waited too long returns at once, and does not wait for what can't come in time

Cause: a wait that was overrun made the expected rest of the outage (0, unknown) count as longer than it, and the caller was told to come back after 1 s instead of at once; asking other instances (0.4 s) and reading parts known to be away (0.15 s) overran it.

Change: an overrun wait ends it; reads of parts that are known to be away are not waited for; other instances are asked only if the wait that is left covers it. Test: the case in TestHandInWaitsAShareOfItsCallersTime fails on the former code.

--- a/batch/callparts.go
+++ b/batch/callparts.go
@@ -81,7 +81,7 @@
 
 // firstAnswering returns the first of some parts that is likely to answer. If that is known of none, or is
 // not to be trusted as an append has just got no answer, all are read at once and the one that answers
-// first is returned.
+// first is returned. Otherwise the call does not wait for the reads of parts that are known to be away.
 func (i *Instance) firstAnswering(ctx context.Context, parts []int, trusted bool) (part int, ok bool) {
 	for _, part := range parts {
 		if trusted && i.isAnswering(part) {
@@ -91,20 +91,37 @@
 	answered := make(chan int, len(parts))
 	var checks sync.WaitGroup
 	for _, part := range parts {
-		if i.followerOf(part).startCheck() {
-			checks.Go(func() {
-				if i.checkPart(context.WithoutCancel(ctx), part, otherPartCheckTimeout) {
-					answered <- part
-				}
-			})
+		away := i.followerOf(part).isAway()
+		if !i.followerOf(part).startCheck() {
+			continue
+		}
+		check := func() {
+			if i.checkPart(context.WithoutCancel(ctx), part, otherPartCheckTimeout) {
+				answered <- part
+			}
+		}
+		if away && trusted {
+			go check()
+		} else {
+			checks.Go(check)
 		}
 	}
+	checked := make(chan struct{})
 	go func() {
 		checks.Wait()
-		close(answered)
+		close(checked)
 	}()
-	part, ok = <-answered
-	return part, ok
+	select {
+	case part = <-answered:
+		return part, true
+	case <-checked:
+	}
+	select {
+	case part = <-answered:
+		return part, true
+	default:
+		return 0, false
+	}
 }
 
 // isAnswering reports whether an append to a part is likely to be answered. The outcome of an append
--- a/batch/handinwait.go
+++ b/batch/handinwait.go
@@ -23,6 +23,11 @@
 	spread   float64       // of the call among others, from 0 to 1
 }
 
+// waitLeft returns how long the call may still wait; it is negative if it has waited for too long.
+func (c waitingCall) waitLeft() time.Duration {
+	return time.Duration(maxWaitShare*float64(c.timeLeft)) - c.waited
+}
+
 // outageView is what an instance knows of the outage that a hand-in meets.
 type outageView struct {
 	age       time.Duration // since the store last answered
@@ -43,9 +48,9 @@
 	if outage.isolated || outage.draining {
 		return waitDecision{retryAfter: isolatedRetryAfter}
 	}
-	wait := time.Duration(maxWaitShare*float64(call.timeLeft)) - call.waited
+	wait := call.waitLeft()
 	switch {
-	case outage.remaining > wait:
+	case outage.remaining > max(0, wait):
 		return waitDecision{retryAfter: spreadRetryAfter(max(minRetryAfter, outage.remaining), call.spread)}
 	case wait < minWait && call.waited < minWait:
 		return waitDecision{retryAfter: storeDownRetryAfter}
--- a/batch/handinwait_test.go
+++ b/batch/handinwait_test.go
@@ -13,6 +13,7 @@
 	is.Equal(decideWait(waitingCall{timeLeft: 3 * time.Second}, outageView{}).wait, 1200*time.Millisecond)
 	is.Equal(decideWait(waitingCall{timeLeft: 3 * time.Second, waited: time.Second}, outageView{}).wait, 200*time.Millisecond)
 	is.Equal(decideWait(waitingCall{timeLeft: 3 * time.Second, waited: 1200 * time.Millisecond}, outageView{}), waitDecision{retryAfter: waitedRetryAfter})
+	is.Equal(decideWait(waitingCall{timeLeft: 3 * time.Second, waited: 1400 * time.Millisecond}, outageView{}), waitDecision{retryAfter: waitedRetryAfter})
 	is.Equal(decideWait(waitingCall{timeLeft: 100 * time.Millisecond}, outageView{}), waitDecision{retryAfter: storeDownRetryAfter})
 }
 
--- a/batch/waitingroom.go
+++ b/batch/waitingroom.go
@@ -161,7 +161,7 @@
 		if !i.pauseInWaitingRoom(ctx, w, min(decision.wait, waitRetryInterval)) {
 			return storeDownRetryAfter, err
 		}
-		err = i.writeRecord(ctx, record)
+		err = i.tryWaitingRecord(ctx, record, call.waitLeft())
 		call.waited = time.Since(call.arrived)
 		decision = decideWait(call, i.outageView())
 	}
@@ -169,6 +169,15 @@
 	return decision.retryAfter, err
 }
 
+// tryWaitingRecord tries to write a record. Other instances are asked only if their answers come within the
+// wait that is left.
+func (i *Instance) tryWaitingRecord(ctx context.Context, record jobs.Record, waitLeft time.Duration) error {
+	if waitLeft < maxPeerAttempts*peerProbeTimeout {
+		return i.writeHere(ctx, record)
+	}
+	return i.writeRecord(ctx, record)
+}
+
 // waitResult names the end of a wait in metrics.
 func waitResult(err error) string {
 	switch {
