--- a/placing/late_work.go
+++ b/placing/late_work.go
@@ -13,10 +13,6 @@
 // to spare is late as often as not. It is given room before others only if that is likely to help.
 const missMargin = 0.25
 
-// lateValueShare is what a late result of urgent work is worth to its caller, of one in time: who
-// waits at a counter has mostly left.
-const lateValueShare = 0.2
-
 // updateMissesObjective reports whether an occurrence that would finish at the given time, if it
 // started now, has too little to spare to be in time. Once it counts as late it needs twice as much
 // to count as in time again, so that it does not change its place with each estimate.
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -313,20 +313,14 @@
 	return (lowerPriority || overGuarantee) && !r.task.step.spec.LongRunning && r.stopSentAt.IsZero() && r.task.run == r
 }
 
-// justifiesLoss reports whether a unit may stop the given victims: within its workspace's guarantee at
-// any cost once its time runs short, else for as much as its job still gains by it.
+// justifiesLoss allows any loss within the workspace's guarantee, and beyond it as much as the
+// value of the job covers.
 func (e *Engine) justifiesLoss(unit *unit, victims []victim) bool {
-	if unit.due {
-		return true
-	}
 	loss := 0.0
 	for _, victim := range victims {
 		loss += victim.loss
 	}
 	work := e.coreSeconds(unit.job, unit.occurrence, false)
 	value := baseValue*e.meanWork(unit.job, work) + workValue*work
-	if unit.missesObjective {
-		value *= lateValueShare
-	}
-	return loss <= maxLossFactor*value
+	return loss <= maxLossFactor*value || unit.guaranteed
 }
--- a/placing/urgent_test.go
+++ b/placing/urgent_test.go
@@ -207,48 +207,6 @@
 	}
 }
 
-// A late urgent job gains its caller little: beyond the guarantee of its workspace it waits for
-// room in place of stopping others, and within it they are stopped once its time runs short.
-func TestLateUrgentJobStopsOthersOnlyForItsGuarantee(t *testing.T) {
-	for _, guarantee := range []int64{0, 8} {
-		is := is.New(t)
-		c := newCluster(1)
-		c.engine.Configure(nil, map[string]int64{"manchester": guarantee}, nil)
-		c.fillWorkers(4)
-		late := testJob(hexID(9), 0, gangStep(1, 8))
-		late.Steps[0].EstimateMS = 300
-		late.Queue.TargetMS = 100
-		c.submit(late)
-		c.now = c.now.Add(1200 * time.Millisecond) // no pass for this long, as during a leader change
-		c.steps(4)
-		is.Equal(c.allRunning(late.ID), guarantee > 0)
-	}
-}
-
-// Guaranteed work stops others at any cost only once its time runs short: until then cheaper room may
-// come.
-func TestGuaranteedWorkWaitsForCheaperRoomWhileItHasTime(t *testing.T) {
-	is := is.New(t)
-	limits := testLimits
-	limits.ReclaimTimeout = 5 * time.Second
-	c := newCluster(1)
-	c.engine.SetLimits(limits)
-	c.engine.Configure(nil, map[string]int64{"manchester": 8}, nil)
-	c.submit(testJob(hexID(1), 1, gangStep(4, 8)))
-	c.steps(200) // ten seconds of work on each accelerator
-	small := testJob(hexID(2), 0, testStep(1, 1))
-	small.Steps[0].EstimateMS = 500
-	c.submit(small)
-	start, stoppedAfter := c.now, time.Duration(0)
-	for !c.allRunning(small.ID) && c.now.Sub(start) < limits.ReclaimTimeout {
-		if stops := c.step().Stops; len(stops) > 0 && stoppedAfter == 0 {
-			stoppedAfter = c.now.Sub(start)
-		}
-	}
-	is.True(c.allRunning(small.ID))
-	is.True(stoppedAfter >= c.engine.maxGuaranteeDelay())
-}
-
 // Urgent work of a workspace beyond its guarantee fills the workers. A job within the
 // guarantee of another workspace still starts within the reclaim time, and only the tasks in
 // its place are stopped.
@@ -276,11 +234,10 @@
 }
 
 // A short urgent job soon exceeds three times its objective. It must not be given up for that,
-// because within its guarantee it still has to start within the reclaim time.
+// because it still has to start within the reclaim time.
 func TestShortUrgentJobIsNotGivenUpWithinTheReclaimTime(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(1)
-	c.engine.Configure(nil, map[string]int64{"manchester": 8}, nil)
 	c.fillWorkers(4)
 	short := testJob(hexID(9), 0, gangStep(1, 8))
 	short.Steps[0].EstimateMS = 100
