--- a/batch/bounds.go
+++ b/batch/bounds.go
@@ -22,9 +22,6 @@
 	// VisibilityTimeout is the time within which every instance knows of an accepted job; 0 if no
 	// bound is set.
 	VisibilityTimeout time.Duration
-	// CheckpointInterval is the work of a task between two of its checkpoints.
-	CheckpointInterval time.Duration
-	RestoreTime        time.Duration // time to resume from a checkpoint
 }
 
 // boundsPropagationTime is how long after a change here other instances may still use the previous
@@ -103,8 +100,6 @@
 		ReclaimTimeout:      current.ReclaimTimeout,
 		EndedJobRetention:   current.EndedJobRetention,
 		EvacuationTimeout:   current.EvacuationTimeout,
-		CheckpointInterval:  current.CheckpointInterval,
-		RestoreTime:         current.RestoreTime,
 		LostLeaderTimeout:   leaderGiveUpTimeout,
 		ReleasedTermTimeout: handOverTimeout,
 		// A delegate may dispatch to workers for an ended leader until its grant expires.
--- a/placing/engine_test.go
+++ b/placing/engine_test.go
@@ -12,8 +12,6 @@
 var testLimits = Limits{
 	MaxLease:            6 * time.Second,
 	MaxStopTime:         900 * time.Millisecond,
-	CheckpointInterval:  500 * time.Millisecond,
-	RestoreTime:         100 * time.Millisecond,
 	ReclaimTimeout:      3 * time.Second,
 	EndedJobRetention:   120 * time.Second,
 	LostLeaderTimeout:   9 * time.Second,
--- a/placing/job.go
+++ b/placing/job.go
@@ -63,7 +63,6 @@
 	losses             losses
 	startBackoff       startBackoff
 	stalls             int       // runs that were stopped as stalled
-	roomStops          int       // runs that were stopped for room; of a gang, counted at its first member
 	ampleCapacitySince time.Time // since when it has waited despite ample free capacity; zero: it does not
 	lastRunEndedAt     time.Time // when its last run that started, or may have, ended
 }
--- a/placing/limits.go
+++ b/placing/limits.go
@@ -8,9 +8,6 @@
 	MaxStopTime       time.Duration // longest time a stop takes
 	ReclaimTimeout    time.Duration // within which guaranteed urgent jobs begin
 	EndedJobRetention time.Duration // retention time of ended jobs
-	// CheckpointInterval is the work of a task between two of its checkpoints.
-	CheckpointInterval time.Duration
-	RestoreTime        time.Duration // time to resume from a checkpoint
 	// EvacuationTimeout is the time after which nothing starts any more in an evacuated zone; 0 where
 	// the platform states none.
 	EvacuationTimeout time.Duration
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -13,10 +13,17 @@
 	// the stop and the report with the end take some milliseconds. Afterwards other victims are
 	// chosen, and the reclaim time must leave time for this second try.
 	reservationSlack = 400 * time.Millisecond
-	// maxLossFactor bounds the cost of the stops for an urgent job beyond its workspace's guarantee, as
-	// a multiple of the job's value in core-seconds. The users value an urgent core-second about six
-	// times as much as a lost one; the rest is for what the victims' callers miss.
-	maxLossFactor = 4
+	// checkpointLoss is the work lost by stopping a task that saves checkpoints, which it also
+	// does at the stop.
+	checkpointLoss = 300 * time.Millisecond
+	// maxLossFactor bounds the work that may be lost for an urgent job beyond its workspace's
+	// guarantee, as a multiple of the job's value in core-seconds. The users value an urgent
+	// core-second about six times as much as a lost one, and the victims also finish later.
+	maxLossFactor = 2
+	// urgentLossWeight is the weight of losses of urgent victims, stopped beyond their guarantee
+	// for a guaranteed job; one second of their work is added for their late end. The users value
+	// an urgent core-second about six times as much.
+	urgentLossWeight = 6
 	// preemptionBackoff is the pause before victims are searched again for a step that found none,
 	// as this search is the most expensive one.
 	preemptionBackoff = 100 * time.Millisecond
@@ -32,7 +39,7 @@
 // victim is a set of runs that are stopped together: a gang's or a single one.
 type victim struct {
 	runs []*run
-	loss float64 // weighted core-seconds, see stop_cost.go
+	loss float64 // weighted core-seconds that would be done again
 }
 
 // preempt stops work of lower priority so that an urgent unit fits, at the least loss, and
@@ -65,23 +72,11 @@
 		for _, run := range victim.runs {
 			e.stopRun(run, "room for "+unit.job.submission.ID, now)
 		}
-		victim.runs[0].task.gangFirst().roomStops++
 	}
-	e.logEvent("preempted", unit.job, "", describeVictims(unit, victims))
+	e.logEvent("preempted", unit.job, "", "victims "+strconv.Itoa(len(victims)))
 	e.reserve(unit, placements, view, now)
 }
 
-// describeVictims returns what is stopped for a unit and at which cost, for the log.
-func describeVictims(unit *unit, victims []victim) string {
-	runs, cost := 0, 0.0
-	for _, victim := range victims {
-		runs += len(victim.runs)
-		cost += victim.loss
-	}
-	return "victims " + strconv.Itoa(len(victims)) + " runs " + strconv.Itoa(runs) + " cost_core_s " + strconv.Itoa(int(cost)) +
-		" guaranteed " + strconv.FormatBool(unit.guaranteed)
-}
-
 // endsSoon reports whether a run was stopped and its end is not late.
 func (e *Engine) endsSoon(run *run, now time.Time) bool {
 	return !run.stoppedAt.IsZero() && now.Sub(run.stoppedAt) < e.limits.MaxStopTime+reservationSlack
@@ -124,7 +119,7 @@
 		if !enoughCapacity(unit, group) {
 			continue
 		}
-		plan := newVictimSearch(e, unit, projected, group, now).findPlan(best)
+		plan := newVictimSearch(unit, projected, group, now).findPlan(best)
 		if plan != nil {
 			best = plan
 		}
@@ -134,7 +129,6 @@
 
 // victimSearch searches one group of nodes for victims.
 type victimSearch struct {
-	engine  *Engine
 	unit    *unit
 	view    *view
 	nodes   []*node
@@ -143,8 +137,8 @@
 	next    []*preemptionPlan // by position in nodes: the cheapest way to place one more task there
 }
 
-func newVictimSearch(engine *Engine, unit *unit, projected *view, nodes []*node, now time.Time) *victimSearch {
-	s := &victimSearch{engine: engine, unit: unit, view: projected.copy(), nodes: nodes, now: now, stopped: map[*run]bool{}}
+func newVictimSearch(unit *unit, projected *view, nodes []*node, now time.Time) *victimSearch {
+	s := &victimSearch{unit: unit, view: projected.copy(), nodes: nodes, now: now, stopped: map[*run]bool{}}
 	s.next = make([]*preemptionPlan, len(nodes))
 	for index := range nodes {
 		s.refresh(index)
@@ -240,7 +234,7 @@
 	for range fitting {
 		free = free.Sub(need)
 	}
-	candidates := s.victimsOn(node)
+	candidates := node.victimsFor(s.unit, s.stopped, s.now)
 	count := 0
 	for count < len(candidates) && !free.Fits(need) {
 		free = free.Add(candidates[count].usageOn(node))
@@ -276,19 +270,21 @@
 	return sum
 }
 
-// victimsOn lists the victims on a node that may be stopped for the unit, least loss first.
-func (s *victimSearch) victimsOn(node *node) []victim {
+// victimsFor lists the victims on a node that may be stopped for a unit, least loss first.
+func (n *node) victimsFor(unit *unit, stopped map[*run]bool, now time.Time) []victim {
 	var list []victim
-	for index, candidate := range node.runs {
-		if !candidate.preemptibleFor(s.unit) || s.stopped[candidate] {
+	for index, candidate := range n.runs {
+		if !candidate.preemptibleFor(unit) || stopped[candidate] {
 			continue
 		}
 		step := candidate.task.step
-		if step.spec.Gang && node.hasEarlierMember(step, index) {
+		if !step.spec.Gang {
+			list = append(list, victim{runs: []*run{candidate}, loss: candidate.weightedLoss(now)})
 			continue
 		}
-		runs := candidate.stoppedTogether()
-		list = append(list, victim{runs: runs, loss: s.engine.stopCost(runs, s.now)})
+		if !n.hasEarlierMember(step, index) {
+			list = append(list, gangVictim(step, now))
+		}
 	}
 	sort.SliceStable(list, func(a, b int) bool { return list[a].loss < list[b].loss })
 	return list
@@ -313,6 +309,38 @@
 	return (lowerPriority || overGuarantee) && !r.task.step.spec.LongRunning && r.stopSentAt.IsZero() && r.task.run == r
 }
 
+// gangVictim returns all runs of a gang as one victim.
+func gangVictim(step *step, now time.Time) victim {
+	var v victim
+	for _, member := range step.tasks {
+		if member.run != nil {
+			v.runs = append(v.runs, member.run)
+			v.loss += member.run.weightedLoss(now)
+		}
+	}
+	return v
+}
+
+// loss returns the core-seconds that a stop would lose.
+func (r *run) loss(now time.Time) float64 {
+	if r.startedAt.IsZero() {
+		return 0
+	}
+	elapsed := now.Sub(r.startedAt)
+	if r.task.step.spec.Checkpoints {
+		elapsed = min(elapsed, checkpointLoss)
+	}
+	return elapsed.Seconds() * coreEquivalents(r.task.step.spec.Need)
+}
+
+// weightedLoss returns the loss of a stop, weighted for comparison with others.
+func (r *run) weightedLoss(now time.Time) float64 {
+	if r.task.step.job.queue.Priority == 0 {
+		return urgentLossWeight * (r.loss(now) + coreEquivalents(r.task.step.spec.Need))
+	}
+	return r.loss(now)
+}
+
 // justifiesLoss allows any loss within the workspace's guarantee, and beyond it as much as the
 // value of the job covers.
 func (e *Engine) justifiesLoss(unit *unit, victims []victim) bool {
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -152,7 +152,7 @@
 	}
 	e.sendStop(run, now)
 	e.logEvent("run_stopped", run.task.step.job, run.node.entry.ID,
-		run.task.key.String()+" lost_core_s "+strconv.Itoa(int(e.lostWork(run, now)))+" "+reason)
+		run.task.key.String()+" lost_core_s "+strconv.Itoa(int(run.loss(now)))+" "+reason)
 }
 
 func (e *Engine) sendStop(run *run, now time.Time) {
--- a/placing/stall.go
+++ b/placing/stall.go
@@ -151,12 +151,8 @@
 	return base << min(t.stallCounter().stalls, maxStallDoublings)
 }
 
-// stallCounter returns the task that counts the stalls.
-func (t *task) stallCounter() *task { return t.gangFirst() }
-
-// gangFirst returns the task that counts for a whole gang: its first member, or the task itself if
-// it starts alone.
-func (t *task) gangFirst() *task {
+// stallCounter returns the task that counts the stalls: of a gang, the first member.
+func (t *task) stallCounter() *task {
 	if t.step.spec.Gang {
 		return t.step.tasks[0]
 	}
@@ -169,7 +165,7 @@
 func (e *Engine) stopIsCheaper(run *run, now time.Time) bool {
 	worked := run.task.stallTimeout(run.percentAt.Sub(run.startedAt))
 	if run.task.step.spec.Checkpoints {
-		worked = min(worked, e.limits.CheckpointInterval+e.limits.RestoreTime)
+		worked = min(worked, checkpointLoss)
 	}
 	return now.Sub(run.percentAt) > worked
 }
