Soak, storm and a test of their own: parts of the store away beside a hand-over

The stand-in of the store can reset the connections of some partitions. Long jobs that all instances read and short ones that only the leader has read are submitted, then the parts with jobs are away while the leader is stopped.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -57,6 +57,7 @@
 
 const (
 	defaultTaskDuration = 300 * time.Millisecond
+	storeParts          = 8 // as in fleetSettings
 	fleetConfig         = `{"version":%d,"routes":[{"name":"wear","host":"wear.example","path_prefix":"/wear/","target_latency_ms":1000,` +
 		`"priority":1,"service":"pool","max_attempts":2,"stretch":3}],"services":[{"name":"pool","admission_check":true}],` +
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144},"tenants":[{"name":"a","api_keys":["key-a"],"guaranteed":{"gpu":8}}]}`
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -117,11 +117,11 @@
 	var leader *frontInstance
 	f.waitUntil("a leader of the term", func() bool {
 		for _, instance := range f.instances {
-			content, err := os.ReadFile(instance.logFile.Name())
+			leads, err := instance.leads()
 			if err != nil {
 				f.t.Fatal(err)
 			}
-			if strings.Count(string(content), "msg=term_won") > strings.Count(string(content), "msg=term_over") && instance.cmd.ProcessState == nil {
+			if leads {
 				leader = instance
 			}
 		}
@@ -130,6 +130,15 @@
 	return leader
 }
 
+// leads reports whether an instance is running and, by its log, won more terms than it gave up.
+func (i *frontInstance) leads() (bool, error) {
+	content, err := os.ReadFile(i.logFile.Name())
+	if err != nil {
+		return false, err
+	}
+	return strings.Count(string(content), "msg=term_won") > strings.Count(string(content), "msg=term_over") && i.cmd.ProcessState == nil, nil
+}
+
 // The leader is killed while a job runs. Another instance must become leader, the job must be
 // done, and no task may start twice.
 func TestPlatformLeaderKillLosesNoWork(t *testing.T) {
--- a/e2e/restart_test.go
+++ b/e2e/restart_test.go
@@ -66,17 +66,20 @@
 	}
 }
 
-// checkDoneOnce checks that a task was done at most once. No task fails here, so a task may run
+// checkDoneOnce checks that the first task of a job's second step was done at most once.
+func (f *fleet) checkDoneOnce(id string) { f.checkTaskDoneOnce(id + ".0.1.0") }
+
+// checkTaskDoneOnce checks that a task was done at most once. No task fails here, so a task may run
 // again only if its run was stopped, or if its end was lost with the worker before it was
 // recorded.
-func (f *fleet) checkDoneOnce(id string) {
+func (f *fleet) checkTaskDoneOnce(task string) {
 	done, lost := 0, 0
 	for _, worker := range f.allIncarnations() {
-		done += worker.Done(id + ".0.1.0")
-		lost += worker.LostDone(id + ".0.1.0")
+		done += worker.Done(task)
+		lost += worker.LostDone(task)
 	}
 	if done-lost > 1 {
-		f.t.Errorf("a task of %s was done %d times, of which %d ends were lost with their workers", id, done, lost)
+		f.t.Errorf("%s was done %d times, of which %d ends were lost with their workers", task, done, lost)
 	}
 }
 
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 // -soak.seed N`; with `-soak.instances 6 -soak.workers 500` the leader delegates shards of the
 // workers to other instances.
 var (
-	soakRounds    = flag.Int("soak.rounds", 8, "number of faults in the fault soak")
+	soakRounds    = flag.Int("soak.rounds", 9, "number of faults in the fault soak")
 	soakSeed      = flag.Uint64("soak.seed", 1, "seed of the fault soak")
 	soakInstances = flag.Int("soak.instances", 3, "instances in the fault soak")
 	soakWorkers   = flag.Int("soak.workers", 4, "workers in the fault soak")
@@ -35,11 +36,12 @@
 	unknown  []string // no definite answer: may have been accepted
 	refused  []string // refused as never to run
 	crashing []string // accepted, and their task crashes its worker
+	narrow   []string // accepted, of one task
 	nextID   int
 }
 
 // Injects one fault after the other: kills, freezes, graceful stops, outages and lost responses
-// of the store, tasks that crash their workers, and worker restarts. Every accepted job must end
+// of the store, outages of parts of it beside a graceful stop of the leader, tasks that crash their workers, and worker restarts. Every accepted job must end
 // as done, no refused job may start, no task may start again after it was done, and jobs that
 // crash their workers must fail after few starts.
 func TestPlatformSoak(t *testing.T) {
@@ -55,7 +57,7 @@
 	}
 	s.store.SetFaults(standin.StoreFaults{})
 	s.waitReady()
-	for _, id := range s.accepted {
+	for _, id := range append(s.accepted, s.narrow...) {
 		s.waitUntil("done: "+id, func() bool { return s.jobState(s.randomLive(), id) == "done" })
 	}
 	for _, id := range s.crashing {
@@ -72,6 +74,9 @@
 	for _, id := range append(s.accepted, s.unknown...) {
 		s.checkDoneOnce(id)
 	}
+	for _, id := range s.narrow {
+		s.checkTaskDoneOnce(id + ".0.0.0")
+	}
 	s.checkAcks()
 }
 
@@ -104,7 +109,7 @@
 // injectFault injects the fault of a round.
 func (s *soak) injectFault(round int) {
 	index := s.random.IntN(len(s.instances))
-	switch round % 8 {
+	switch round % 9 {
 	case 0:
 		s.restartInstance(index, syscall.SIGKILL)
 	case 1:
@@ -127,9 +132,29 @@
 		s.restartWorkers(1)
 	case 7:
 		s.restartWorkers(2)
+	case 8:
+		s.handOverWithPartsAway()
 	}
 }
 
+// handOverWithPartsAway stops the leader while the store turns all instances away from some of the
+// partitions with jobs. The next leader has not read the newest of them, whose tasks end meanwhile.
+func (s *soak) handOverWithPartsAway() {
+	leader := s.leader()
+	time.Sleep(readPause)
+	submitUnread(6, 0, func(body string) {
+		s.nextID++
+		id := fmt.Sprintf("%016x", s.nextID)
+		if status, _ := s.call(s.randomLive(), http.MethodPost, id, "key-a", body); status == http.StatusOK {
+			s.narrow = append(s.narrow, id)
+		}
+	})
+	s.store.SetFaults(standin.StoreFaults{ResetParts: drawJobParts(s.random)})
+	s.restartInstance(slices.Index(s.instances, leader), syscall.SIGTERM)
+	time.Sleep(standin.LongRunFactor * defaultTaskDuration)
+	s.store.SetFaults(standin.StoreFaults{})
+}
+
 // restartWorkers restarts each worker with a probability of one half, as many times in a row as
 // given.
 func (s *soak) restartWorkers(times int) {
--- a/e2e/storm_callers_test.go
+++ b/e2e/storm_callers_test.go
@@ -29,8 +29,7 @@
 			return
 		case <-time.After(time.Duration(random.IntN(int(maxCallerPause.Milliseconds()))) * time.Millisecond):
 		}
-		job := &submittedJob{id: fmt.Sprintf("%016x", 0xa0000+s.nextID.Add(1)), wantState: "done"}
-		job.body = gangJob
+		job := &submittedJob{body: gangJob, wantState: "done"}
 		switch random.IntN(12) {
 		case 0:
 			job.body, job.wantState = failedJob, "failed"
@@ -39,15 +38,21 @@
 		case 4:
 			job.body = wideRackJob
 		}
-		job.result = s.submitJob(job.id, job.body, random)
-		if job.result == submitAccepted && random.IntN(8) == 0 {
-			job.cancelled = true
-			s.call(s.randomInstance(random), http.MethodDelete, job.id, "key-a", "")
-		}
-		s.mu.Lock()
-		s.jobs = append(s.jobs, job)
-		s.mu.Unlock()
+		s.recordSubmission(job, random)
+	}
+}
+
+// recordSubmission submits a job under a new ID, cancels some of the accepted ones, and records it.
+func (s *storm) recordSubmission(job *submittedJob, random *rand.Rand) {
+	job.id = fmt.Sprintf("%016x", 0xa0000+s.nextID.Add(1))
+	job.result = s.submitJob(job.id, job.body, random)
+	if job.result == submitAccepted && random.IntN(8) == 0 {
+		job.cancelled = true
+		s.call(s.randomInstance(random), http.MethodDelete, job.id, "key-a", "")
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs = append(s.jobs, job)
 }
 
 // submitJob submits a job, and retries elsewhere while the outcome is unknown. A refusal covers
--- a/e2e/storm_faults_test.go
+++ b/e2e/storm_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -9,6 +10,16 @@
 	"github.com/teaselcleat/teaselcleat/standin"
 )
 
+const (
+	// unreadStormJobs is how many long and how many short jobs are submitted before parts of the store are
+	// away.
+	unreadStormJobs = 4
+	// unreadStormDelay lets the long jobs end one task's duration after the short ones.
+	unreadStormDelay = (standin.LongRunFactor - 2) * stormTaskDuration
+	// minPartOutage is longer than the short jobs and the rest of the long ones take.
+	minPartOutage = 3 * stormTaskDuration
+)
+
 // drawDuration draws the duration of a fault.
 func (s *storm) drawDuration() time.Duration {
 	limit := maxShortFault
@@ -24,7 +35,7 @@
 	faults := s.drawProxyFaults()
 	outage := time.Duration(s.random.Int64N(int64(maxLongFault)))
 	networkFault := stormFault{machine.name, func(time.Duration) { injectProxyFaults(machine.proxy, faults, outage) }}
-	switch s.random.IntN(18) {
+	switch s.random.IntN(20) {
 	case 0, 1, 2, 3, 4, 5, 6, 7:
 		return s.drawInstanceFault(faults)
 	case 8, 9, 10:
@@ -37,7 +48,7 @@
 			machine.crash()
 			time.Sleep(duration)
 		}}
-	case 13:
+	case 13, 18, 19:
 		return stormFault{"store", s.drawStoreFault()}
 	case 14, 15, 16:
 		if s.earlierBinary == "" { // an earlier version does not support evacuations
@@ -108,7 +119,7 @@
 // drawStoreFault draws a fault of the store.
 func (s *storm) drawStoreFault() func(time.Duration) {
 	faults := standin.StoreFaults{Retain: stormRetention}
-	switch s.random.IntN(4) {
+	switch s.random.IntN(6) {
 	case 0:
 		faults.Down = true
 	case 1:
@@ -119,14 +130,48 @@
 		faults.LateDelay = time.Duration(s.random.Int64N(int64(maxAppendDelay)))
 	case 3:
 		faults.Slow = time.Duration(20+s.random.IntN(280)) * time.Millisecond
+	case 4, 5:
+		faults.ResetParts = drawJobParts(s.random)
 	}
+	random := rand.New(rand.NewPCG(s.random.Uint64(), 7)) // s.random is not for other goroutines
 	return func(duration time.Duration) {
+		if len(faults.ResetParts) > 0 {
+			submitUnread(unreadStormJobs, unreadStormDelay, func(body string) {
+				s.recordSubmission(&submittedJob{body: body, wantState: "done"}, random)
+			})
+		}
 		s.store.SetFaults(faults)
+		if len(faults.ResetParts) > 0 {
+			s.handOver()
+			duration = max(duration, minPartOutage)
+		}
 		time.Sleep(duration)
 		s.store.SetFaults(standin.StoreFaults{Retain: stormRetention})
 	}
 }
 
+// handOver stops and restarts the leader, unless there is none or it has another fault.
+func (s *storm) handOver() {
+	name := s.leaderName()
+	if name == "" || !s.acquireTarget(name) {
+		return
+	}
+	defer s.releaseTarget(name)
+	s.restartInstance(name, syscall.SIGTERM)
+}
+
+// leaderName returns the name of the instance that leads; empty if there is none.
+func (s *storm) leaderName() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, instance := range s.instances {
+		if leads, err := instance.leads(); err == nil && leads {
+			return instance.name
+		}
+	}
+	return ""
+}
+
 // injectProxyFaults injects faults into a connection for some time. If connections are refused,
 // established ones are reset first, as if the machine had lost power.
 func injectProxyFaults(proxy *standin.Proxy, faults standin.ProxyFaults, duration time.Duration) {
--- a/e2e/storm_test.go
+++ b/e2e/storm_test.go
@@ -96,7 +96,7 @@
 // jobs:
 //   - instances are killed, stopped, frozen, or cut off from the store, callers, each other or all;
 //   - the store is down, slow, loses answers, applies appends late, drops old records and moves to
-//     another address;
+//     another address, or parts of it are away while the leader is stopped;
 //   - connections are slow, silent in one direction, reset, or pass few bytes at a time;
 //   - workers are unreachable until their leases expire, and restart under their IDs;
 //   - availability zones are evacuated, or lost with their instances and workers;
--- a/standin/keyedstore.go
+++ b/standin/keyedstore.go
@@ -27,6 +27,9 @@
 	// LateDelay, if the producer's epoch and sequence still permit.
 	LateAppends int
 	LateDelay   time.Duration
+	// ResetParts are the numbers of the partitions, in topics with several, whose calls end with a
+	// reset connection.
+	ResetParts map[string]bool
 }
 
 // KeyedStore is an in-memory stand-in of the users' store, the service that keeps the
@@ -69,7 +72,11 @@
 func (s *KeyedStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	down, slow := s.faults.Down, s.faults.Slow
+	reset := s.faults.resets(r.URL.Query())
 	s.mu.Unlock()
+	if reset {
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(slow)
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -85,9 +92,17 @@
 	s.faults = faults
 	for _, p := range s.partitions {
 		p.dropOldest(faults.Retain)
+		p.wakeReaders()
 	}
 }
 
+// resets reports whether a call with a query ends with a reset connection. Partition 0 is the only one
+// of some topics.
+func (f *StoreFaults) resets(query url.Values) bool {
+	part := query.Get("part")
+	return part != "0" && f.ResetParts[part]
+}
+
 // TranslateAddress replaces an address in all records that are appended from now on. It
 // models a network in which a process is reached at another address than the one it
 // listens on.
@@ -140,6 +155,11 @@
 		}
 		p.records = append(p.records, record)
 	}
+	p.wakeReaders()
+}
+
+// wakeReaders has the reads that wait look at the partition again.
+func (p *storePartition) wakeReaders() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -248,6 +268,10 @@
 	defer timeout.Stop()
 	for waiting := true; ; {
 		s.mu.Lock()
+		if s.faults.resets(query) {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		p := s.partition(query.Get("topic"), query.Get("part"))
 		changed := p.changed
 		if from < p.firstOffset {
