--- a/placing/fit.go
+++ b/placing/fit.go
@@ -276,7 +276,7 @@
 		if count == 0 || !node.accepts(unit) || v.closedTo(unit, node) || unit.emptyOnly && !v.suitsIsolation(node, unit.now) {
 			continue
 		}
-		weight := node.freeShare(v.free[node.at]) + v.nodeSpeedWeight(node, unit)
+		weight := node.freeShare(v.free[node.at]) + v.nodeSpeedWeight(node, unit) + v.nodeExplorationWeight(node, unit)
 		if unit.isolated {
 			weight = -weight // prefers nodes where the loss of the worker costs least
 		}
@@ -286,12 +286,8 @@
 		if unit.ignorePreferences && (!node.schedulable(unit.now) || node.entry.ID == unit.avoidWorker) {
 			weight += lastResortWeight
 		}
-		capacity += count
-		if v.explores(node, unit) {
-			candidates = append(candidates, candidate{node: node, count: 1, weight: weight + rackWeight - explorationWeight})
-			count--
-		}
 		candidates = append(candidates, candidate{node: node, count: count, weight: weight + rackWeight})
+		capacity += count
 	}
 	return candidates, capacity
 }
--- a/placing/speed.go
+++ b/placing/speed.go
@@ -109,10 +109,10 @@
 	percentPerSecond float64
 }
 
-// comparesSpeed reports whether the runs of the step tell the speeds of workers: they are enough for a
-// comparison, and do not advance together as the members of a gang do.
+// comparesSpeed reports whether the runs of the step tell the speeds of workers. The members of a gang
+// advance together.
 func (s *step) comparesSpeed() bool {
-	return len(s.tasks) >= minSpeedSiblings && !s.spec.Gang && !s.spec.LongRunning && !s.spec.Filler
+	return !s.spec.Gang && !s.spec.LongRunning && !s.spec.Filler
 }
 
 // compareSpeed samples the progress of a run once, after it has run for a while, and compares
@@ -194,23 +194,12 @@
 	return slowest
 }
 
-// explores reports whether a task of the unit is to show the speed of the node: the speed is unknown, no
-// run there shows it yet, and the unit is one from which speeds are learned and can wait. One task on a
-// worker shows it. It answers loads of gangs beside batch work: gangs tell no speed, and eight tasks on
-// one worker leave seven others unknown.
-func (v *view) explores(node *node, unit *unit) bool {
-	if !v.speedsSignificant || unit.tier == tierUrgent || unit.isolated || node.speed.count > 0 {
-		return false
-	}
-	return unit.step.comparesSpeed() && !node.showsSpeed()
-}
-
-// showsSpeed reports whether a run there will show the speed of the node.
-func (n *node) showsSpeed() bool {
-	for _, run := range n.runs {
-		if run.task.step.comparesSpeed() && !run.speedCompared && !run.resumed {
-			return true
-		}
+// nodeExplorationWeight returns the part of a node's weight that is due to its speed being unknown, 0
+// unless the unit is one from which the speed is learned and can wait.
+func (v *view) nodeExplorationWeight(node *node, unit *unit) float64 {
+	explores := v.speedsSignificant && unit.tier != tierUrgent && unit.step.comparesSpeed() && len(unit.step.tasks) >= minSpeedSiblings
+	if !explores || node.speed.count > 0 {
+		return 0
 	}
-	return false
+	return -explorationWeight
 }
--- a/placing/speed_learning_test.go
+++ b/placing/speed_learning_test.go
@@ -40,44 +40,19 @@
 	is.True(medianRate(rates) > 9.9 && medianRate(rates) < 10.1)
 }
 
-// startsByWorker starts a batch of some tasks that can wait and returns how many each worker gets.
-func startsByWorker(e *Engine, id string, tasks int, now time.Time) map[string]int {
-	e.ApplyJob(&jobs.Job{Submission: testJob(id, 2, testStep(tasks, 1))}, now)
-	starts := map[string]int{}
-	for _, start := range startAll(e, now.Add(100*time.Millisecond)) {
-		starts[start.Worker]++
-	}
-	return starts
-}
-
 // Work that can wait goes to workers of unknown speed, so that they are known when an urgent gang
-// comes. One task on each tells as much as eight on one of them, and of more workers.
+// comes.
 func TestBatchGoesToWorkersOfUnknownSpeed(t *testing.T) {
 	is := is.New(t)
 	e, now := mixedFleet(is, speedOfWorker)
-	unknown := []string{"w01", "w07", "w13", "w14", "w20", "w28"}
-	for _, id := range unknown {
-		e.nodes[id].speed = speedEstimate{}
-	}
-	starts := startsByWorker(e, hexID(2), minSpeedSiblings, now)
-	is.Equal(len(starts), len(unknown))
-	for _, id := range unknown {
-		is.Equal(starts[id], 1)
+	unknown := e.nodes["w07"]
+	unknown.speed = speedEstimate{}
+	e.ApplyJob(&jobs.Job{Submission: testJob(hexID(2), 2, testStep(minSpeedSiblings, 1))}, now)
+	for _, start := range startAll(e, now.Add(100*time.Millisecond)) {
+		is.Equal(start.Worker, "w07")
 	}
 }
 
-// Guards against batch work that is spread over whole workers, which gangs need, for a speed that a
-// task there is about to show: the next batch fills the fullest workers as usual.
-func TestWorkerWhoseSpeedIsBeingLearnedGetsNoMoreForIt(t *testing.T) {
-	is := is.New(t)
-	e, now := mixedFleet(is, speedOfWorker)
-	e.nodes["w07"].speed = speedEstimate{}
-	is.Equal(startsByWorker(e, hexID(2), minSpeedSiblings, now)["w07"], 1)
-	is.True(e.nodes["w07"].showsSpeed())
-	v := e.schedulableView(now)
-	is.True(!v.explores(e.nodes["w07"], &unit{tier: tierOnTime, step: e.jobs[hexID(2)].occurrences[0].steps[0]}))
-}
-
 // An urgent gang goes to workers that are known to be of the usual speed, not to unknown ones.
 func TestUrgentGangAvoidsWorkersOfUnknownSpeed(t *testing.T) {
 	is := is.New(t)
