--- a/placing/speed_handover.go
+++ b/placing/speed_handover.go
@@ -9,8 +9,7 @@
 )
 
 // Speeds are kept with the term's state, so that a new leader does not place urgent gangs on slow
-// workers until it has seen tasks on all workers again, which took 16 seconds on 350 workers. They
-// are recorded only where workers differ.
+// workers until it has seen tasks on all workers again. They are recorded only where workers differ.
 const (
 	// speedsRecordInterval bounds how often the speeds are recorded. What was learned in that time is
 	// lost with the leader; a step of batch work that tells speeds runs for longer.
