Reads of operators' records are given up in time after a silent outage

Cause: while the store leaves connections silent, the margin of a read doubles with each one that is not answered, to 2 s. A read of the operators' stream sent just before the end of the outage was so waited for up to 3 s, and none was sent meanwhile. The logs show it: deadline exceeded for reads with a wait of 1 s, store_regained 0.9 to 3 s after the store had answered others. Change: reads of this stream are given up after four fifths of the time in which a configuration takes effect, whatever answers took; on the fleet, with 5 s, that bounds nothing that is used there.

--- a/batch/evacuation.go
+++ b/batch/evacuation.go
@@ -118,6 +118,17 @@
 	return Outcome{Verdict: NotRun, Reason: "every availability zone is evacuated", RetryAfter: evacuatedRetryAfter}, true
 }
 
+// configReadShare is the share of the time in which a configuration takes effect after which a read of
+// the operator stream is given up, however late answers have been: a read that was sent just before a
+// silent outage ends is not answered, and the next one has to be in time.
+const configReadShare = 0.8
+
+// operatorReadTimeout returns when a read of the operator stream is given up; 0 if the deployment states no
+// time in which a configuration takes effect.
+func (i *Instance) operatorReadTimeout() time.Duration {
+	return time.Duration(configReadShare * float64(i.bounds.latest().ConfigTimeout))
+}
+
 // operatorReadWait returns how long a read of the operator stream may wait for a record.
 func (i *Instance) operatorReadWait() time.Duration {
 	if i.leading.Load() {
--- a/batch/follower.go
+++ b/batch/follower.go
@@ -65,6 +65,7 @@
 	reset        func()               // called before the newest records are applied again
 	readInterval func() time.Duration // pause after a read that returned records
 	readWait     func() time.Duration // how long a read may wait for a record
+	readTimeout  func() time.Duration // longest time until a read is given up; nil or 0 for no bound but that of margin
 	active       func() bool          // reports whether to follow now; nil for always
 	startDelay   time.Duration        // delay of the first read
 	wakeup       chan struct{}        // ends a pause; see wake
@@ -146,9 +147,18 @@
 	return batch, err
 }
 
+// timeoutOf returns when a read with a wait is given up.
+func (f *follower) timeoutOf(wait time.Duration) time.Duration {
+	timeout := wait + f.margin.current()
+	if f.readTimeout == nil || f.readTimeout() == 0 {
+		return timeout
+	}
+	return min(timeout, max(f.readTimeout(), wait+minReadMargin))
+}
+
 // read reads from the current position on, within the usual latency.
 func (f *follower) read(ctx context.Context, wait time.Duration) (Batch, error) {
-	callCtx, cancel := context.WithTimeout(ctx, wait+f.margin.current())
+	callCtx, cancel := context.WithTimeout(ctx, f.timeoutOf(wait))
 	defer cancel()
 	sent := f.clock.Now()
 	batch, err := f.store.Read(callCtx, f.stream, f.part, f.position(), wait)
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -118,6 +118,7 @@
 	i.operator.apply = i.applyOperatorBatch
 	i.operator.reset = i.evacuations.reset
 	i.operator.readWait = i.operatorReadWait
+	i.operator.readTimeout = i.operatorReadTimeout
 	i.operator.readInterval = func() time.Duration { return configReadInterval }
 	i.work = i.newWorkFollower(statePart)
 	if part := progressPart(settings.StoreParts); part != statePart {
