--- a/placing/partial_report_test.go
+++ b/placing/partial_report_test.go
@@ -50,6 +50,15 @@
 	return EndedTask{Number: number, Task: jobs.TaskKey{Job: hexID(9), Index: int(number)}, Run: 1, Kind: EndDone}
 }
 
+// fullPage returns as many such ends as a worker lists in one answer.
+func fullPage() []EndedTask {
+	page := make([]EndedTask, 0, maxListedEnds)
+	for number := range int64(maxListedEnds) {
+		page = append(page, unknownEnd(number+1))
+	}
+	return page
+}
+
 func (p *partialReport) report(now time.Time, running []RunningTask, ended ...EndedTask) {
 	p.engine.Report(p.worker, now, running, ended, now.Add(6*time.Second), now)
 }
@@ -120,12 +129,8 @@
 	p.engine.MarkJobsComplete()
 	now := testStart.Add(time.Second)
 	p.report(now, []RunningTask{p.run})
-	page := make([]EndedTask, 0, maxListedEnds)
-	for number := range int64(maxListedEnds) {
-		page = append(page, unknownEnd(number+1))
-	}
 	now = now.Add(time.Second)
-	p.report(now, nil, page...)
+	p.report(now, nil, fullPage()...)
 	is.Equal(len(startAll(p.engine, now)), 0)
 	now = now.Add(time.Second)
 	p.report(now, nil, EndedTask{Number: maxListedEnds + 1, Task: p.run.Task, Run: p.run.Run, Kind: EndDone})
@@ -139,11 +144,7 @@
 	p.engine.MarkJobsComplete()
 	now := testStart.Add(time.Second)
 	p.report(now, []RunningTask{p.run})
-	page := make([]EndedTask, 0, maxListedEnds)
-	for number := range int64(maxListedEnds) {
-		page = append(page, unknownEnd(number+1))
-	}
-	p.report(now.Add(time.Second), nil, page...)
+	p.report(now.Add(time.Second), nil, fullPage()...)
 	now = now.Add(2 * time.Second)
 	p.report(now, nil)
 	is.Equal(len(startAll(p.engine, now)), 1)
--- a/placing/report.go
+++ b/placing/report.go
@@ -154,8 +154,9 @@
 }
 
 // reconcileMissing ends runs that the report should list but does not. A report decides only if all
-// ends up to its time are handled, and if it was requested after the run was accepted, or after its stop was acknowledged. The first
-// report of a term also decides for runs on record, since older orders are fenced off by then.
+// ends up to its time are handled, and if it was requested after the run was accepted, or after its
+// stop was acknowledged. The first report of a term also decides for runs on record, since older
+// orders are fenced off by then.
 func (e *Engine) reconcileMissing(n *node, reported map[*run]bool, sentAt, now time.Time) {
 	for _, run := range append([]*run(nil), n.runs...) {
 		if reported[run] || run.phase == phasePlanned {
