--- a/placing/engine.go
+++ b/placing/engine.go
@@ -231,7 +231,7 @@
 	job.reservation = nil
 	e.markDirty(job)
 	e.logEvent("job_ended", job, "", string(state)+" "+reason+" age_ms "+strconv.FormatInt(now.Sub(job.acceptedAt).Milliseconds(), 10)+
-		" objective_ms "+strconv.FormatInt(e.objective(job, job.occurrences[0]).Milliseconds(), 10))
+		" objective_ms "+strconv.FormatInt(e.objective(job, job.occurrences[0]).Milliseconds(), 10)+" "+job.stops.String())
 	if state == jobs.StateDone {
 		return // runs that are left belong to gangs that are ending
 	}
--- a/placing/job.go
+++ b/placing/job.go
@@ -21,6 +21,7 @@
 	dirty         bool
 	occurrences   []*occurrence
 	reservation   *reservation // capacity set aside while victims are stopped for this job
+	stops         stopCount
 }
 
 // occurrence is one execution of the steps of a job.
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -167,8 +167,9 @@
 		run.phase = phaseStopping
 	}
 	e.sendStop(run, now)
-	e.logEvent("run_stopped", run.task.step.job, run.node.entry.ID,
-		run.task.key.String()+" lost_core_s "+strconv.Itoa(int(run.loss(now)))+" "+reason)
+	job := run.task.step.job
+	job.stops.add(run.loss(now))
+	e.logEvent("run_stopped", job, run.node.entry.ID, run.task.key.String()+" lost_core_s "+strconv.Itoa(int(run.loss(now)))+" "+reason+" "+job.stops.String())
 }
 
 func (e *Engine) sendStop(run *run, now time.Time) {
