Urgent work that will be late gives way to work that can be in time

Cause, one of two: all urgent work ranked before all other work until it had lost its value, though it could not be in time any more and was beyond its guarantee, and it stopped gangs.

Change: such work ranks behind what can be in time and before other late work, and stops single tasks alone. Guaranteed work keeps its place.

--- a/placing/late_work.go
+++ b/placing/late_work.go
@@ -4,9 +4,9 @@
 
 // The load that this file answers: more urgent work than room for some seconds. A queue that serves
 // all alike then makes all of it a little late, and callers get little from any of it. So urgent
-// work that will be late in any case gives way to urgent work that can still be in time. It keeps
-// its place before all other work, and within its workspace's guarantee it begins in time whatever
-// waits beside it.
+// work that will be late in any case gives way to all work that can still be in time, and stops no
+// gang: all members would have to find room together once more. Within its workspace's guarantee it
+// begins in time whatever waits beside it.
 
 // missMargin is the share of the remaining work that a job must have to spare to count as able to
 // be in time. Callers' estimates are off by up to half either way, and what is started with nothing
@@ -25,6 +25,24 @@
 	return o.missesObjective
 }
 
+// rankAsLate ranks an urgent unit that is expected to be late. A guaranteed one only gives way to other
+// guaranteed work.
+func (u *unit) rankAsLate() {
+	if u.guaranteed {
+		u.missesObjective = true
+		return
+	}
+	u.tier = tierUrgentLate
+}
+
+// urgent reports whether a unit is of priority 0 and still has value, or has to start within the
+// reclaim time.
+func (u *unit) urgent() bool { return u.tier == tierUrgent || u.tier == tierUrgentLate }
+
+// mayStop reports whether work of a step may be stopped for a unit, as far as its expected lateness
+// decides.
+func (u *unit) mayStop(step *step) bool { return u.tier != tierUrgentLate || !step.spec.Gang }
+
 // guaranteeStartMargin is the time to record a placement and to start its tasks.
 const guaranteeStartMargin = 200 * time.Millisecond
 
--- a/placing/pass.go
+++ b/placing/pass.go
@@ -116,7 +116,7 @@
 		return
 	}
 	e.queueForAdvice(unit)
-	if unit.tier == tierUrgent && !unit.isolated {
+	if unit.urgent() && !unit.isolated {
 		e.preempt(unit, view, now)
 	}
 }
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -306,7 +306,7 @@
 	job := r.task.step.job
 	lowerPriority := job.queue.Priority > unit.job.queue.Priority
 	overGuarantee := job.queue.Priority == 0 && unit.overGuarantee[job.submission.Workspace]
-	return (lowerPriority || overGuarantee) && !r.task.step.spec.LongRunning && r.stopSentAt.IsZero() && r.task.run == r
+	return (lowerPriority || overGuarantee) && unit.mayStop(r.task.step) && !r.task.step.spec.LongRunning && r.stopSentAt.IsZero() && r.task.run == r
 }
 
 // gangVictim returns all runs of a gang as one victim.
--- a/placing/rack_delay.go
+++ b/placing/rack_delay.go
@@ -48,7 +48,7 @@
 // mayWaitForRack reports whether a step may still be delayed for a rack that suits it.
 func (e *Engine) mayWaitForRack(unit *unit, now time.Time) bool {
 	maxDelay := time.Duration(rackDelayShare * float64(e.expectedRuntime(unit.job, unit.tasks[0].key.Step)))
-	if unit.tier == tierUrgent {
+	if unit.urgent() {
 		maxDelay = min(maxDelay, e.maxUrgentDelay())
 	}
 	return now.Sub(unit.step.readyAt) < maxDelay
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -13,6 +13,7 @@
 const (
 	tierUrgent     tier = iota // priority 0, while it still has value or can start within the reclaim time
 	tierOnTime                 // can still finish within its objective
+	tierUrgentLate             // as tierUrgent, but expected to be late and not guaranteed to start, see late_work.go
 	tierLate                   // can still finish within three times its objective
 	tierBestEffort             // served with leftover capacity
 )
@@ -53,7 +54,7 @@
 	deferrable        bool            // can finish on time though other work goes first; see reserveHeadroom
 	guaranteed        bool            // must start within the reclaim time
 	due               bool            // guaranteed, and the time for it runs short, see maxGuaranteeDelay
-	missesObjective   bool            // urgent and expected to be late, see late_work.go
+	missesObjective   bool            // guaranteed and expected to be late, see late_work.go
 	isolated          bool            // suspect; gets a worker to itself
 	emptyOnly         bool            // isolated and limited to empty workers that have not recently restarted
 	avoidWorker       string          // worker that is used only if no other fits
@@ -273,8 +274,8 @@
 	u.deferrable = u.tier == tierOnTime && u.deadline.Sub(finish) > time.Duration(minSpareShare*float64(finish.Sub(now)))
 	u.density = e.density(job, occurrence)
 	u.guaranteed = u.tier == tierUrgent && e.withinGuarantee(job)
-	if u.tier == tierUrgent {
-		u.missesObjective = occurrence.updateMissesObjective(finish, u.deadline, finish.Sub(now))
+	if u.tier == tierUrgent && occurrence.updateMissesObjective(finish, u.deadline, finish.Sub(now)) {
+		u.rankAsLate()
 	}
 	return u
 }
--- a/placing/speed.go
+++ b/placing/speed.go
@@ -170,7 +170,7 @@
 // nodeSpeedWeight returns the part of a node's weight that comes from its speed, 0 unless the
 // unit is urgent.
 func (v *view) nodeSpeedWeight(node *node, unit *unit) float64 {
-	if !v.speedsSignificant || unit.tier != tierUrgent {
+	if !v.speedsSignificant || !unit.urgent() {
 		return 0
 	}
 	return speedWeight * (1 - node.speed.lowerFactor())
@@ -179,7 +179,7 @@
 // rackSpeedValue returns the value, in cores, of the speed of a gang's placements in a rack, 0
 // unless the unit is urgent.
 func (v *view) rackSpeedValue(placements []placement, unit *unit) float64 {
-	if !v.speedsSignificant || unit.tier != tierUrgent {
+	if !v.speedsSignificant || !unit.urgent() {
 		return 0
 	}
 	return rackSpeedWeight * slowestSpeedOf(placements)
@@ -197,7 +197,7 @@
 // nodeExplorationWeight returns the part of a node's weight that is due to its speed being unknown, 0
 // unless the unit is one from which the speed is learned and can wait.
 func (v *view) nodeExplorationWeight(node *node, unit *unit) float64 {
-	explores := v.speedsSignificant && unit.tier != tierUrgent && unit.step.comparesSpeed() && len(unit.step.tasks) >= minSpeedSiblings
+	explores := v.speedsSignificant && !unit.urgent() && unit.step.comparesSpeed() && len(unit.step.tasks) >= minSpeedSiblings
 	if !explores || node.speed.count > 0 {
 		return 0
 	}
--- a/placing/start_limit.go
+++ b/placing/start_limit.go
@@ -11,7 +11,7 @@
 
 // allowedStarts returns how many tasks of a unit may be placed now.
 func (e *Engine) allowedStarts(unit *unit) int {
-	if unit.tier == tierUrgent {
+	if unit.urgent() {
 		return UnlimitedStarts
 	}
 	return max(0, e.startLimit-len(e.pendingRuns)-len(e.recordingRuns))
