Leases of former leaders count at workers that were listed before a job was read

What could happen: a task started while its former run went on elsewhere.

Cause: a node that the list created took the time of the listing as the end of all leases there. For jobs that are read at the beginning of the term the run comes first and brings the time with it; a job that is read later, as while a part of the store is away, found the node, and its run counted as over at once.

Change: a listed worker starts with the time until which former leaders' leases may last.

Test: a run of a job that is read late, at a worker that has answered once or never; before, the task ran elsewhere at once in both cases.

--- a/placing/node.go
+++ b/placing/node.go
@@ -134,7 +134,8 @@
 			continue
 		}
 		present = append(present, entry)
-		n := e.ensureNode(entry, now)
+		// A run of a job that is read later may have a lease of a former leader there.
+		n := e.ensureNode(entry, laterTime(now, e.formerLeasesExpireAt))
 		if entry.Leaving && !n.entry.Leaving {
 			n.leaveAt = now.Add(entry.MinRemaining)
 			e.plan.LogEvents = append(e.plan.LogEvents, LogEvent{Event: "worker_leaving", Worker: entry.ID, Detail: "remaining " + entry.MinRemaining.String()})
--- a/placing/unread_end_test.go
+++ b/placing/unread_end_test.go
@@ -115,3 +115,31 @@
 		is.Equal(len(startAll(s.engine, overAt)), 1)
 	}
 }
+
+// A former leader may have granted a lease at a worker that was listed, and answered, before the job was read.
+func TestRunOfAJobReadLateCountsUntilFormerLeasesExpire(t *testing.T) {
+	for name, answers := range map[string]bool{"the worker has answered": true, "the worker was never reached": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			submission := testJob(hexID(1), 1, testStep(1, 1))
+			record, err := jobs.ProgressRecord(submission.ID, &jobs.Progress{State: jobs.StateRunning, Tasks: []jobs.TaskProgress{{Run: 1, Worker: "w1"}}})
+			is.NoErr(err)
+			others := []WorkerEntry{testWorker("w2", "r1-1")}
+			e := testEngine(2)
+			e.LoadJobs(nil, FormerLeaderUnknown, testStart)
+			e.UpdateWorkers(append(others, testWorker("w1", "r1-1")), testStart)
+			e.Report("w2", testStart, nil, nil, time.Time{}, testStart)
+			if answers {
+				e.Report("w1", testStart, []RunningTask{{Task: jobs.TaskKey{Job: submission.ID}, Run: 1}}, nil, time.Time{}, testStart)
+			}
+			later := testStart.Add(time.Second)
+			e.ApplyJob(&jobs.Job{Submission: submission, Progress: record.Value}, later)
+			e.MarkJobsComplete()
+			e.WorkerUnreachable("w1", time.Time{}, later)
+			e.UpdateWorkers(others, later)
+			expiry := testStart.Add(LeaseExpiry(testLimits.MaxLease) + testLimits.LostLeaderTimeout)
+			is.Equal(len(startAll(e, expiry.Add(-time.Millisecond))), 0)
+			is.Equal(len(startAll(e, expiry.Add(time.Second))), 1)
+		})
+	}
+}
