Work of a lower priority leaves room while a higher one lacks its share

Headroom is kept for gangs only from tasks with time to spare, and under overload none has any. Class: backfill of lower priority without a bound, a priority inversion.

Change: work that is not urgent starts only while no higher priority has less of its demand in service. Nothing is stopped for it, and shares agree again as tasks end. Lasting tasks are not held back.

--- a/placing/headroom.go
+++ b/placing/headroom.go
@@ -102,6 +102,7 @@
 	valid   bool
 	used    float64
 	byClass [classes]float64
+	byLevel [priorityLevels]float64
 }
 
 // currentShares returns the cached shares, summing them first if they are not valid.
@@ -111,7 +112,9 @@
 	}
 	n.shares = nodeShares{valid: true, used: dominantShare(n.used, n.entry.Capacity)}
 	for _, run := range n.runs {
-		n.shares.byClass[run.task.step.class()] += dominantShare(run.need(), n.entry.Capacity)
+		share := dominantShare(run.need(), n.entry.Capacity)
+		n.shares.byClass[run.task.step.class()] += share
+		n.shares.byLevel[level(run.task.step.job.queue.Priority)] += share
 	}
 	return &n.shares
 }
--- a/placing/pass.go
+++ b/placing/pass.go
@@ -36,13 +36,14 @@
 	}
 	view := e.schedulableView(now)
 	e.logSummary(units, view, now)
-	headroomReserved := false
+	var demands map[string]*priorityDemand
 	for _, unit := range units {
-		if !headroomReserved && unit.tier != tierUrgent {
+		if demands == nil && unit.tier != tierUrgent {
 			e.reserveHeadroom(units, view, now)
-			headroomReserved = true
+			demands = e.priorityDemands(units, view)
 		}
-		if e.allowedStarts(unit) == 0 {
+		unit.heldBack = demands[unit.job.queue.Pool].holdsBack(unit)
+		if unit.heldBack || e.allowedStarts(unit) == 0 {
 			continue
 		}
 		e.placeUnit(unit, view, now)
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -55,6 +55,7 @@
 	guaranteed        bool            // must start within the reclaim time
 	due               bool            // guaranteed, and the time for it runs short, see maxGuaranteeDelay
 	missesObjective   bool            // guaranteed and expected to be late, see late_work.go
+	heldBack          bool            // waits as a higher priority lacks its share, see priority_share.go
 	isolated          bool            // suspect; gets a worker to itself
 	emptyOnly         bool            // isolated and limited to empty workers that have not recently restarted
 	avoidWorker       string          // worker that is used only if no other fits
