A worker that is gone is waited for once, not anew by each leader

What users saw: in a test, a task whose worker was gone had not run again after 40 s in an empty pool while the leader changed every 3 or 9 s; with one leader it did after 9.55 s.

Cause: a leader may have renewed leases at any worker, and nothing on record says at which it did not. So each one waits for the longest time from its own beginning. Class: a bound on what others may have done that is counted from the waiter's own beginning. Ruled out: the run is lost from the record; the worker is taken for alive.

Change: a leader states on record which workers with runs on record it has not reached; the next one takes the time over, from what renewals of the term state already. A stated worker that returns is polled only once the statement without it is durable, so a leader that the store has fenced off never polls one.

Why it holds: the time bounds all leases of the terms before, and no later term granted one there; a statement of another term, an unknown time or an unreadable record lead to the full wait.

--- a/batch/formerleases_test.go
+++ b/batch/formerleases_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/teaselcleat/teaselcleat/jobs"
 	"github.com/teaselcleat/teaselcleat/placing"
+	"github.com/teaselcleat/teaselcleat/ring"
 )
 
 // Guards against a run that is taken as over while a leader renews its lease that is cut off from the
@@ -69,3 +70,36 @@
 	_, known = formerLeases(jobs.Term{}, jobs.Term{Epoch: 1})
 	is.True(known) // there was no leader before
 }
+
+// A leader takes over what the former one has stated of workers that it has not reached.
+func TestLeaderTakesOverTheStatementAboutUnreachedWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		stated, err := jobs.NewUnreached(3, map[string]int64{"w1": 0})
+		is.NoErr(err)
+		record, err := jobs.UnreachedRecord(stated)
+		is.NoErr(err)
+		for previous, loaded := range map[jobs.Term]bool{
+			{Epoch: 3, Leader: "c/1", FormerLeasesMS: 1500}: true,
+			{Epoch: 3, Leader: "c/1"}:                       false, // the former leader never renewed the term
+		} {
+			leader := newIdleLeader(4)
+			_, err = leader.instance.fold.table.Apply(record, progressPart(leader.instance.settings.StoreParts), 1)
+			is.NoErr(err)
+			leader.takeOver(previous)
+			events := leader.engine.Decide(leader.clock.Now()).LogEvents
+			is.Equal(len(events) > 0 && events[0].Event == "unreached_loaded", loaded)
+		}
+	})
+}
+
+// Workers that were passed over are polled without waiting for the next change of the list.
+func TestLeaderListsWorkersAgainOnceTheyMayBePolled(t *testing.T) {
+	is := is.New(t)
+	leader := newIdleLeader(4)
+	leader.events = ring.New[event](1)
+	leader.execute(t.Context(), placing.Plan{ListWorkersAgain: true})
+	next, ok := leader.events.TryTake()
+	is.True(ok)
+	is.Equal(next, listChangedEvent{})
+}
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -141,6 +141,7 @@
 	for _, job := range all {
 		l.pools[job.Submission.Queue.Pool] = true
 	}
+	l.engine.LoadUnreached(i.fold.table.Unreached())
 	l.engine.LoadSpeeds(i.fold.table.Speeds(), l.clock.Now())
 	l.engine.LoadJobs(all, former, l.clock.Now())
 	l.writer.setFormerLeases(l.engine.FormerLeasesExpireAt())
@@ -355,6 +356,9 @@
 	for _, worker := range plan.RemovedWorkers {
 		l.dispatchers.removeWorker(worker)
 	}
+	if plan.ListWorkersAgain {
+		l.offer(listChangedEvent{})
+	}
 	if len(plan.ExpiredJobs) > 0 {
 		l.spawn(ctx, func(ctx context.Context) { l.expireJobs(ctx, plan.ExpiredJobs) })
 	}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -15,7 +15,7 @@
 }
 
 // Prefixes of keys, which precede a job ID or an instance name. The term, the mark of the newest
-// progress group, the check record and the speeds of workers have a single key each. Keys of any
+// progress group, the check record, the speeds of workers and the unreached workers have a single key each. Keys of any
 // other form are ignored, so that instances of a former version read a log with new ones.
 const (
 	submissionPrefix = "s/"
@@ -26,6 +26,7 @@
 	markKey          = "mark"
 	checkKey         = "check"
 	speedsKey        = "speeds"
+	unreachedKey     = "unreached"
 	instancePrefix   = "i/"
 )
 
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -51,6 +51,9 @@
 
 	speeds           *Speeds // newest that could be read; nil if there is none
 	speedsNextOffset int64   // offset of speeds plus 1
+
+	unreached           *Unreached // newest; nil if there is none or it could not be read
+	unreachedNextOffset int64      // offset of unreached plus 1
 }
 
 // NewTable returns an empty table.
@@ -135,8 +138,8 @@
 
 // Apply folds one record of a part. Offsets count within a part; all progress records
 // are in one part, and so are all state records. If the value is not valid, as that of
-// another writer, Apply returns an error and leaves the table unchanged. An empty value
-// is the deletion of the key.
+// another writer, Apply returns an error and leaves the table unchanged, except for
+// Unreached. An empty value is the deletion of the key.
 func (t *Table) Apply(record Record, part int, offset int64) (Change, error) {
 	if record.Key == termKey {
 		return t.applyTerm(record)
@@ -148,6 +151,9 @@
 	if record.Key == speedsKey {
 		return Change{}, t.applySpeeds(record, offset)
 	}
+	if record.Key == unreachedKey {
+		return Change{}, t.applyUnreached(record, offset)
+	}
 	if name, ok := cutKeyPrefix(record.Key, instancePrefix); ok {
 		return Change{}, t.applyInstance(name, record)
 	}
--- a/placing/delay_sim_test.go
+++ b/placing/delay_sim_test.go
@@ -66,7 +66,12 @@
 
 func (s *delaySim) changeLeader() {
 	s.epoch++
+	former := s.engine
 	s.engine = testEngine(s.epoch)
+	if former != nil {
+		s.engine.SetFormerLeases(former.FormerLeasesExpireAt()) // as the renewals of the term state
+	}
+	s.engine.LoadUnreached(s.table.Unreached())
 	s.engine.LoadJobs(s.table.All(), FormerLeaderReleased, s.now)
 	s.engine.MarkJobsComplete()
 	s.termStart = s.now
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -32,6 +32,7 @@
 	evacuations         evacuations
 	speedVariance       speedVariance
 	speedsHandover      speedsHandover
+	unreached           unreachedWorkers
 	unexplainedSilences []time.Time // recent times, in order, when workers without a just started run fell silent
 
 	demands map[string]*demands // by pool
@@ -84,6 +85,7 @@
 		recentlyRestarted: map[string]time.Time{},
 		demands:           map[string]*demands{},
 		idlePools:         map[string]idlePool{},
+		unreached:         unreachedWorkers{inherited: map[string]time.Time{}, reached: map[string]bool{}, returned: map[string]bool{}},
 		pendingAcks:       map[*node]int64{},
 		acksInFlight:      map[*node]int64{},
 	}
@@ -138,6 +140,9 @@
 	ExpiredJobs    []string         // ended jobs whose records can be dropped
 	LogEvents      []LogEvent       // decisions and their reasons, for the log
 	RecheckAfter   time.Duration    // when to decide again even if nothing happens; 0: no need
+	// ListWorkersAgain asks for UpdateWorkers with the present list: workers that it passed over may be
+	// polled now.
+	ListWorkersAgain bool
 }
 
 // Configure sets the operators' queues and guarantees, and the pools whose workers
--- a/placing/job.go
+++ b/placing/job.go
@@ -236,7 +236,7 @@
 }
 
 // applyProgress applies the progress of a job from the log. Recorded runs are expected at
-// their workers until leaseExpiry.
+// their workers until leaseExpiry, or until the leases there have expired if that is inherited.
 func (e *Engine) applyProgress(job *job, progress *jobs.Progress, leaseExpiry time.Time) {
 	job.state = progress.State
 	job.reason = progress.Reason
@@ -271,6 +271,9 @@
 	if recorded.Worker == "" {
 		return
 	}
+	if inherited, ok := e.unreached.inherited[recorded.Worker]; ok {
+		leaseExpiry = inherited
+	}
 	node := e.ensureNode(WorkerEntry{ID: IncarnationID(recorded.Worker, recorded.BornMS), Name: recorded.Worker, BornMS: recorded.BornMS}, leaseExpiry)
 	task.run = &run{task: task, number: recorded.Run, node: node, phase: phaseRunning, unconfirmed: true, resumed: true}
 	node.addRun(task.run)
--- a/placing/node.go
+++ b/placing/node.go
@@ -121,16 +121,17 @@
 	return n
 }
 
-// UpdateWorkers sets the workers that the platform lists now, and returns the entries that are
-// not outdated. Workers that are not listed any more get nothing new; their runs go on
+// UpdateWorkers sets the workers that the platform lists now, and returns the entries of those that
+// may be polled: they are not outdated, and the worker is not stated as unreached. Workers that are not listed any more get nothing new; their runs go on
 // while they answer.
 func (e *Engine) UpdateWorkers(entries []WorkerEntry, now time.Time) []WorkerEntry {
 	for _, n := range e.nodeOrder {
 		n.listed = false
 	}
+	clear(e.unreached.returned)
 	present := make([]WorkerEntry, 0, len(entries))
 	for _, entry := range entries {
-		if e.outdated(&entry) {
+		if e.outdated(&entry) || !e.unreached.reach(entry.referenceName()) {
 			continue
 		}
 		present = append(present, entry)
@@ -147,6 +148,7 @@
 		n.recentlyRestartedUntil = e.recentlyRestarted[entry.Address]
 	}
 	e.removeNodes()
+	e.updateUnreached()
 	e.expireAnswers(now)
 	return present
 }
--- a/placing/records.go
+++ b/placing/records.go
@@ -34,16 +34,18 @@
 	if e.recordsInFlight && now.Sub(e.recordsSentAt) >= earlyStateDelay {
 		e.emitEarlyStates()
 	}
-	if e.recordsInFlight || (len(e.changedJobs) == 0 && len(e.pendingAcks) == 0) {
+	recordsDue := len(e.changedJobs) > 0 || e.unreachedChanged()
+	if e.recordsInFlight || (!recordsDue && len(e.pendingAcks) == 0) {
 		return
 	}
-	if len(e.changedJobs) == 0 {
+	if !recordsDue {
 		e.acksInFlight, e.pendingAcks = e.pendingAcks, map[*node]int64{}
 		e.releaseAcks()
 		return
 	}
 	e.recordChangedJobs()
 	e.recordSpeeds(now)
+	e.recordUnreached()
 	var remaining []*run
 	for _, run := range e.pendingRuns {
 		if run.task.step.job.dirty {
@@ -95,6 +97,7 @@
 // The starts and acknowledgements that depend on them come with the next plan.
 func (e *Engine) MarkRecordsDurable(now time.Time) {
 	e.recordsInFlight = false
+	e.commitUnreached()
 	for _, run := range e.recordingRuns {
 		e.dropUnfit(run, now)
 	}
--- a/placing/sim_test.go
+++ b/placing/sim_test.go
@@ -39,6 +39,7 @@
 	profiles       map[jobs.TaskKey]runProfile // how the runs of a step behave, by its first task; default draw if missing
 	listInterval   time.Duration               // time between two reads of the worker list by the leader
 	delays         *idleDelayCheck             // nil: start delays are not checked
+	handover       *leaseHandover              // nil: each leader waits for all former leases anew
 	violations     []string
 }
 
@@ -248,6 +249,7 @@
 	leader := &modelLeader{engine: testEngine(s.logEpoch), epoch: s.logEpoch, acks: map[string]int64{}, lastAnswerAt: map[string]time.Time{}, leaseUntil: map[string]time.Time{},
 		leaseExpiresAt: map[string]time.Time{}, answered: map[string]bool{}, links: map[string]bool{}}
 	s.readEvacuations(leader)
+	s.handover.apply(s, leader)
 	read, unread := s.drawUnreadJobs()
 	leader.engine.LoadJobs(read, FormerLeaderUnknown, s.now)
 	s.leader = leader
@@ -297,7 +299,7 @@
 	seen := map[string]bool{}
 	for _, worker := range s.incarnations {
 		name := worker.entry.Name
-		if seen[name] || s.removed[name] {
+		if seen[name] || s.removed[name] || s.handover.hides(name, s.now) {
 			continue
 		}
 		seen[name] = true
@@ -340,12 +342,13 @@
 		s.executePlan(s.leader, s.leader.engine.Decide(s.now))
 		s.checkCachedShares()
 	}
+	s.handover.runFormerLeaders(s)
 }
 
-// executePlan carries out the plan of a leader. An append to the log takes 4 ms.
+// executePlan carries out the plan of a leader.
 func (s *simulation) executePlan(l *modelLeader, plan Plan) {
 	if len(plan.Records) > 0 {
-		s.schedule(4*time.Millisecond, func() {
+		s.schedule(s.handover.appendLatency(s), func() {
 			if l.epoch < s.logEpoch {
 				l.deposed = true
 				return
