A unit that no worker of its pool could hold keeps no lower priority waiting

Read in the diff: the demand of a priority counted units by workers of all pools and whatever their labels, so a job that only another pool could hold would have held lower priorities back until its objective had passed. It is counted by the workers that may run it. Urgent work, which is never compared, is left out of the sum.

--- a/placing/priority_share.go
+++ b/placing/priority_share.go
@@ -16,13 +16,14 @@
 )
 
 // priorityDemand is the demand for a pool by priority, in workers' worth of the resource that a task
-// uses most of. Work that is late in any case does not count as waiting.
+// uses most of. Only work that can still be in time counts as waiting, and no urgent work, which goes
+// first in any case.
 type priorityDemand struct{ running, waiting [priorityLevels]float64 }
 
 // level returns the level of a priority.
 func level(priority int) int { return min(max(0, priority), priorityLevels-1) }
 
-// priorityDemands sums up the demand by pool. A unit counts as waiting only if its workers could hold it.
+// priorityDemands sums up the demand by pool. A unit that no workers could hold does not count.
 func (e *Engine) priorityDemands(units []*unit, view *view) map[string]*priorityDemand {
 	byPool := map[string]*priorityDemand{}
 	for _, node := range e.nodeOrder {
@@ -39,7 +40,7 @@
 	for _, unit := range units {
 		pool := unit.job.queue.Pool
 		capacity, ok := reference[pool]
-		if ok && unit.tier <= tierOnTime && enoughCapacity(unit, view.nodes) {
+		if ok && unit.tier == tierOnTime && e.fitsWithout(unit, "") {
 			byPool[pool].waiting[level(unit.job.queue.Priority)] += float64(len(unit.tasks)) * dominantShare(unit.step.need(), capacity)
 		}
 	}
--- a/placing/rack_delay.go
+++ b/placing/rack_delay.go
@@ -95,8 +95,8 @@
 	return counts
 }
 
-// fitsWithout reports whether workers other than the avoided one could hold a unit, or one
-// task of a unit whose tasks start alone.
+// fitsWithout reports whether workers other than the avoided one, if any is named, could hold a unit,
+// or one task of a unit whose tasks start alone.
 func (e *Engine) fitsWithout(unit *unit, avoided string) bool {
 	wanted := 1
 	if unit.step.spec.Gang {
