A worker with unknown runs is kept until all jobs are known

What could happen: a task started while its run went on at a worker that had left the list. Read in the code while the leases of former leaders were traced, and shown by a test that started the task elsewhere at once.

Cause: a node without runs that it knows was removed when its worker left the list, and the end of the leases that this leader had renewed there went with it. A job that was read afterwards, as while a part of the store is away, made a new node with the leases of former leaders alone.

Change: until all jobs are known, a node whose worker has reported unknown runs stays, and is polled on. Its time is the one that the job finds.

--- a/placing/node.go
+++ b/placing/node.go
@@ -122,8 +122,8 @@
 }
 
 // UpdateWorkers sets the workers that the platform lists now, and returns the entries of those that
-// may be polled: they are not outdated, and the worker is not stated as unreached. Workers that are not listed any more get nothing new; their runs go on
-// while they answer.
+// may be polled: they are not outdated, and the worker is not stated as unreached. Workers that are
+// not listed any more get nothing new; their runs go on while they answer.
 func (e *Engine) UpdateWorkers(entries []WorkerEntry, now time.Time) []WorkerEntry {
 	for _, n := range e.nodeOrder {
 		n.listed = false
@@ -153,11 +153,12 @@
 	return present
 }
 
-// removeNodes removes nodes that are neither listed nor have runs.
+// removeNodes removes nodes that are neither listed nor have runs. Until all jobs are known, a run that
+// a node has reported may turn out to be one of theirs.
 func (e *Engine) removeNodes() {
 	remaining := e.nodeOrder[:0]
 	for _, n := range e.nodeOrder {
-		if n.listed || len(n.runs) > 0 {
+		if n.listed || len(n.runs) > 0 || n.unknownRuns > 0 && !e.jobsComplete {
 			remaining = append(remaining, n)
 			continue
 		}
--- a/placing/unread_end_test.go
+++ b/placing/unread_end_test.go
@@ -143,3 +143,25 @@
 		})
 	}
 }
+
+// This leader has renewed the leases of a run that it did not know, at a worker that left the list since.
+func TestRunOfAJobReadLateCountsUntilLeasesOfItsOwnLeaderExpire(t *testing.T) {
+	is := is.New(t)
+	submission := testJob(hexID(1), 1, testStep(1, 1))
+	record, err := jobs.ProgressRecord(submission.ID, &jobs.Progress{State: jobs.StateRunning, Tasks: []jobs.TaskProgress{{Run: 1, Worker: "w1"}}})
+	is.NoErr(err)
+	e := testEngine(2)
+	e.LoadJobs(nil, FormerLeaderReleased, testStart)
+	e.UpdateWorkers([]WorkerEntry{testWorker("w1", "r1-1"), testWorker("w2", "r1-1")}, testStart)
+	former := e.FormerLeasesExpireAt()
+	renewed := former.Add(-time.Second)
+	expiry := renewed.Add(LeaseExpiry(testLimits.MaxLease))
+	e.Report("w1", renewed, []RunningTask{{Task: jobs.TaskKey{Job: submission.ID}, Run: 1}}, nil, expiry, renewed)
+	e.UpdateWorkers([]WorkerEntry{testWorker("w2", "r1-1")}, renewed)
+	e.WorkerUnreachable("w1", expiry, renewed)
+	e.ApplyJob(&jobs.Job{Submission: submission, Progress: record.Value}, renewed)
+	e.MarkJobsComplete()
+	e.Report("w2", renewed, nil, nil, time.Time{}, renewed)
+	is.Equal(len(startAll(e, expiry.Add(-time.Millisecond))), 0)
+	is.Equal(len(startAll(e, expiry.Add(time.Second))), 1)
+}
