Plan.RelistWorkers in place of a name that ends in Again

A rename of a field and of its test, nothing else; the names of the project say what is done, not that it is done once more. Tests of the statement pass as before.

--- a/batch/formerleases_test.go
+++ b/batch/formerleases_test.go
@@ -94,11 +94,11 @@
 }
 
 // Workers that were passed over are polled without waiting for the next change of the list.
-func TestLeaderListsWorkersAgainOnceTheyMayBePolled(t *testing.T) {
+func TestLeaderRelistsWorkersOnceTheyMayBePolled(t *testing.T) {
 	is := is.New(t)
 	leader := newIdleLeader(4)
 	leader.events = ring.New[event](1)
-	leader.execute(t.Context(), placing.Plan{ListWorkersAgain: true})
+	leader.execute(t.Context(), placing.Plan{RelistWorkers: true})
 	next, ok := leader.events.TryTake()
 	is.True(ok)
 	is.Equal(next, listChangedEvent{})
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -356,7 +356,7 @@
 	for _, worker := range plan.RemovedWorkers {
 		l.dispatchers.removeWorker(worker)
 	}
-	if plan.ListWorkersAgain {
+	if plan.RelistWorkers {
 		l.offer(listChangedEvent{})
 	}
 	if len(plan.ExpiredJobs) > 0 {
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -140,9 +140,9 @@
 	ExpiredJobs    []string         // ended jobs whose records can be dropped
 	LogEvents      []LogEvent       // decisions and their reasons, for the log
 	RecheckAfter   time.Duration    // when to decide again even if nothing happens; 0: no need
-	// ListWorkersAgain asks for UpdateWorkers with the present list: workers that it passed over may be
+	// RelistWorkers asks for UpdateWorkers with the present list: workers that it passed over may be
 	// polled now.
-	ListWorkersAgain bool
+	RelistWorkers bool
 }
 
 // Configure sets the operators' queues and guarantees, and the pools whose workers
--- a/placing/unreached.go
+++ b/placing/unreached.go
@@ -123,7 +123,7 @@
 	u.durable, u.inFlight = u.inFlight, nil
 	for name := range u.returned {
 		if _, stated := u.durable[name]; !stated {
-			e.plan.ListWorkersAgain = true
+			e.plan.RelistWorkers = true
 		}
 	}
 }
--- a/placing/unreached_test.go
+++ b/placing/unreached_test.go
@@ -84,7 +84,7 @@
 	c.is.Equal(c.decide(), &jobs.Unreached{Epoch: 2})
 	c.is.Equal(c.list("w1", "w2"), []string{"w2"}) // the withdrawal is in flight
 	c.engine.MarkRecordsDurable(testStart)
-	c.is.True(c.engine.Decide(testStart).ListWorkersAgain)
+	c.is.True(c.engine.Decide(testStart).RelistWorkers)
 	c.is.Equal(c.list("w1", "w2"), []string{"w1", "w2"})
 	c.list("w2")
 	c.is.Equal(c.decide(), nil)
