Review: a case of a sound job shown as failed after five losses of its workers

A gang that saves its progress is shown as failed once five of its runs were lost with a worker, though no run of it has ended as failed and each came further than the one before.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(e *environment) int{
+	"given-up":  playGivenUp,
 	"left-idle": playLeftIdle,
 }
 
