Review: a case of a job that runs after its cancelling was answered with 410

A client leaves before its hand-in is answered, as the store lost the answer, and cancels the job at another instance, which finds it not in the log. The first instance then appends the job again, and it runs to its end.

--- a/review/harness/instances.go
+++ b/review/harness/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -173,7 +174,14 @@
 
 // call sends a client's call to an instance; status 0 means that no complete answer came.
 func (s *system) call(i *instance, method, id, body string) (status int, answer string) {
-	request, err := http.NewRequest(method, "http://"+i.front+prefix+id, strings.NewReader(body))
+	return s.callWithin(i, method, id, body, client.Timeout)
+}
+
+// callWithin is call for a client that leaves after some time.
+func (s *system) callWithin(i *instance, method, id, body string, patience time.Duration) (status int, answer string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+prefix+id, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -192,13 +200,18 @@
 	return response.StatusCode, string(bytes.TrimSpace(content))
 }
 
-// submit hands a job in and records the answer.
-func (s *system) submit(i *instance, j *job) int {
+// submitWithin hands a job in for a client that leaves after some time.
+func (s *system) submitWithin(i *instance, j *job, patience time.Duration) (status int, answer string) {
 	body, err := json.Marshal(map[string]any{"spec": j.spec, "steps": j.steps})
 	if err != nil {
-		return 0
+		return 0, err.Error()
 	}
-	status, answer := s.call(i, http.MethodPost, j.id, string(body))
+	return s.callWithin(i, http.MethodPost, j.id, string(body), patience)
+}
+
+// submit hands a job in and records the answer.
+func (s *system) submit(i *instance, j *job) int {
+	status, answer := s.submitWithin(i, j, client.Timeout)
 	s.record.add("client: POST %s at %s: %d %s", j.id, i.name, status, answer)
 	return status
 }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,14 +26,16 @@
 var cases = map[string]func(e *environment) int{
 	"given-up":  playGivenUp,
 	"left-idle": playLeftIdle,
+	"not-there": playNotThere,
 }
 
 // environment is what a case plays with.
 type environment struct {
-	record  *record
-	fleet   *fleet
-	system  *system
-	trouble bool
+	record    *record
+	fleet     *fleet
+	lateStore *lateStore
+	system    *system
+	trouble   bool
 }
 
 func main() { os.Exit(play()) }
@@ -65,8 +67,9 @@
 		defer os.RemoveAll(dir)
 	}
 	f := newFleet(record)
-	store := httptest.NewServer(f.store)
-	e := &environment{record: record, fleet: f, trouble: os.Getenv("TROUBLE") != "0"}
+	late := &lateStore{next: f.store, record: record}
+	store := httptest.NewServer(late)
+	e := &environment{record: record, fleet: f, lateStore: late, trouble: os.Getenv("TROUBLE") != "0"}
 	e.system = &system{root: *root, dir: dir, storeAddr: strings.TrimPrefix(store.URL, "http://"), record: record}
 	defer e.system.stopAll()
 	signals := make(chan os.Signal, 1)
