--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -9,7 +9,7 @@
 	echo "run the build of deploy/system.toml and review/build.sh first" >&2
 	exit 2
 fi
-timeout --signal=TERM --kill-after=2 115 "$root/target/harness" -case given-up -root "$root" -record "$here/record.txt"
+timeout --signal=TERM --kill-after=2 115 "$root/target/harness" -case left-idle -root "$root" -record "$here/record.txt"
 code=$?
 case $code in
 0 | 1) exit $code ;;
--- a/review/harness/given_up.go
+++ b/review/harness/given_up.go
@@ -6,76 +6,88 @@
 )
 
 const (
+	givenUpTasks    = 8 // one on each worker
 	givenUpCrashes  = 5
-	givenUpWorkTime = 3 * time.Second  // of the gang between two crashes
-	givenUpDownTime = 3 * time.Second  // of a worker that has crashed
-	givenUpTotal    = 24 * time.Second // work of the gang
-	givenUpLimit    = 100 * time.Second
+	givenUpWorkTime = 3 * time.Second  // of the task between two crashes
+	givenUpDownTime = 3 * time.Second  // of the worker that has crashed
+	givenUpLimit    = 90 * time.Second // for all crashes
+	givenUpAfter    = 12 * time.Second // observed after the last crash
 )
 
-// playGivenUp plays a gang that saves its progress, on six of eight workers. With the
-// disruption, one worker at a time crashes and is back after three seconds, five times in all.
-// The job may be shown as failed only after max_attempts runs that ended as failed.
+// playGivenUp plays a job with eight tasks that last, one on each of eight workers. With the
+// disruption one worker crashes and is back after three seconds, five times in all. The tasks
+// have to be started again however they end, until the job is cancelled, and no client
+// cancels it: it may not be shown as failed.
 func playGivenUp(e *environment) int {
-	j := &job{id: "00c0ffee00000001", spec: "a gang that saves its progress", steps: []*stepSpec{{
-		Count: 6, CPU: 26000, MemMB: 110000, GPU: 8, EstMS: givenUpTotal.Milliseconds(), Gang: true, Checkpoints: true, WorkMS: givenUpTotal.Milliseconds()}}}
+	j := &job{id: "00c0ffee00000001", spec: "tasks that last", steps: []*stepSpec{{
+		Count: givenUpTasks, CPU: 26000, MemMB: 110000, GPU: 8, EstMS: 5000, LongRunning: true}}}
 	e.fleet.addJob(j)
 	if status := e.system.submit(e.follower(), j); status != 200 {
 		return caseFailed
 	}
+	crashed := make(chan bool, 1)
 	if e.trouble {
-		go e.crashMembers(j)
+		go func() { crashed <- e.crashOneWorker(j) }()
+	} else {
+		crashed <- true
 	}
-	last := ""
-	for deadline := time.Now().Add(givenUpLimit); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
-		state := e.system.state(e.follower(), j.id)
-		if state != last && state != "" {
-			e.record.add("client: GET %s: %s", j.id, state)
-			last = state
+	state, end := "", time.Now().Add(givenUpLimit)
+	for time.Now().Before(end) {
+		select {
+		case <-crashed:
+			end = time.Now().Add(givenUpAfter)
+		default:
 		}
-		switch state {
-		case "done":
-			return ruleHeld
-		case "failed", "cancelled":
-			failed := e.fleet.countEnds(j.id, "failed")
-			e.record.add("shown as %s; no client cancelled it; runs that ended as failed: %d; max_attempts: 3", state, failed)
-			e.printLeaderLog(j.id)
-			return ruleBroken
+		if told := e.system.state(e.follower(), j.id); told != "" && told != state {
+			e.record.add("client: GET %s: %s", j.id, told)
+			state = told
+		}
+		if state == "failed" || state == "cancelled" || state == "done" {
+			return e.judgeGivenUp(j, state)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	e.record.add("the job is %s, runs that go on: %d", state, len(e.fleet.current(j.id)))
+	if state != "running" {
+		return caseFailed
+	}
+	return ruleHeld
+}
+
+// judgeGivenUp records why a job has ended that lasts until it is cancelled.
+func (e *environment) judgeGivenUp(j *job, state string) int {
+	time.Sleep(time.Second)
+	e.record.add("shown as %s; no client cancelled it; runs that ended as failed: %d; runs that were stopped: %d; runs that go on: %d",
+		state, e.fleet.countEnds(j.id, "failed"), e.fleet.countEnds(j.id, "stopped"), len(e.fleet.current(j.id)))
+	for _, line := range e.system.logLines(j.id) {
+		if strings.Contains(line, "msg=task_lost_worker") || strings.Contains(line, "msg=job_ended") {
+			e.record.add("log: %s", line)
 		}
 	}
-	e.record.add("the job has no final state")
-	return caseFailed
+	return ruleBroken
 }
 
-// crashMembers crashes one worker that runs a member of the gang once the gang has worked for
+// crashOneWorker crashes the worker of one machine each time its task has been at work for
 // some seconds, and starts it again.
-func (e *environment) crashMembers(j *job) {
+func (e *environment) crashOneWorker(j *job) bool {
+	machine := "m-3"
 	for crashes := 0; crashes < givenUpCrashes; time.Sleep(50 * time.Millisecond) {
-		runs := e.fleet.current(j.id)
-		if len(runs) < j.steps[0].Count {
-			continue
+		var victim *worker
+		for _, r := range e.fleet.current(j.id) {
+			if r.worker.machine == machine && time.Since(r.startedAt) >= givenUpWorkTime {
+				victim = r.worker
+			}
 		}
-		e.fleet.mu.Lock()
-		from := runs[0].workFrom
-		e.fleet.mu.Unlock()
-		if from.IsZero() || time.Since(from) < givenUpWorkTime {
+		if victim == nil {
 			continue
 		}
 		crashes++
-		victim := runs[crashes%len(runs)].worker
 		victim.crash(false)
 		time.Sleep(givenUpDownTime)
-		if _, err := e.fleet.startWorker(victim.machine, victim.address, crashes); err != nil {
-			e.record.add("runner does not start again: %s", err)
-		}
-	}
-}
-
-// printLeaderLog records what the leader logged about the losses and the end of a job.
-func (e *environment) printLeaderLog(id string) {
-	for _, line := range e.system.logLines(id) {
-		if strings.Contains(line, "msg=task_lost_worker") || strings.Contains(line, "msg=job_ended") {
-			e.record.add("log: %s", line)
+		if _, err := e.fleet.startWorker(victim.machine, victim.address, 2); err != nil {
+			e.record.add("the runner does not start again: %s", err)
+			return false
 		}
 	}
+	return true
 }
