--- a/review/harness-2/lab/fleet.go
+++ b/review/harness-2/lab/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,7 +61,8 @@
 	program   string
 	instances []*instance
 	client    *http.Client
-	next      int
+	next      atomic.Int64
+	late      *lateStore
 }
 
 func newFleet(w *world, program, dir string) (*fleet, error) {
@@ -70,7 +73,8 @@
 		return nil, err
 	}
 	f.storeAddr = listener.Addr().String()
-	go func() { _ = http.Serve(listener, f.store) }()
+	f.late = &lateStore{store: f.store, world: w, random: newRandom(1)}
+	go func() { _ = http.Serve(listener, f.late) }()
 	f.store.Put("keyed.op", "config", []byte(config))
 	return f, nil
 }
@@ -167,13 +171,17 @@
 
 // call sends a call of the client to the next instance.
 func (f *fleet) call(method, id string, body any) (status int, answer []byte) {
-	i := f.instances[f.next%len(f.instances)]
-	f.next++
+	return f.callWithin(context.Background(), method, id, body)
+}
+
+// callWithin is call with a limit of the client's own.
+func (f *fleet) callWithin(ctx context.Context, method, id string, body any) (status int, answer []byte) {
+	i := f.instances[int(f.next.Add(1))%len(f.instances)]
 	encoded := []byte{}
 	if body != nil {
 		encoded, _ = json.Marshal(body)
 	}
-	request, err := http.NewRequest(method, "http://"+i.front+pathPrefix+id, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.front+pathPrefix+id, bytes.NewReader(encoded))
 	if err != nil {
 		return 0, nil
 	}
@@ -193,12 +201,17 @@
 	return response.StatusCode, answer
 }
 
-// handIn hands a job in until it is accepted.
-func (f *fleet) handIn(j *job) error {
+// register makes a job known to the workers' stand-ins.
+func (f *fleet) register(j *job) {
 	j.failedEnds, j.lostRuns = map[string]int{}, map[string]int{}
 	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
 	f.world.jobs[j.id] = j
-	f.world.mu.Unlock()
+}
+
+// handIn hands a job in until it is accepted.
+func (f *fleet) handIn(j *job) error {
+	f.register(j)
 	for range 5 {
 		status, answer := f.call(http.MethodPost, j.id, j)
 		f.world.note("POST %s: %d %s", j.id, status, strings.TrimSpace(string(answer)))
