--- a/review/harness-2/lab/world.go
+++ b/review/harness-2/lab/world.go
@@ -41,12 +41,9 @@
 
 // job is a job that the client has handed in.
 type job struct {
-	id          string
-	maxAttempts int
-	Spec        string         `json:"spec"`
-	Steps       []step         `json:"steps"`
-	failedEnds  map[string]int // ends as failed, by task
-	lostRuns    map[string]int // runs lost with their worker, by task
+	id    string
+	Spec  string `json:"spec"`
+	Steps []step `json:"steps"`
 }
 
 // run is one run of a task on a worker.
