--- a/batch/link.go
+++ b/batch/link.go
@@ -82,7 +82,7 @@
 	backoff := minHoldBackoff
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		report, sent, err := l.hold(ctx, wait)
+		report, call, err := l.hold(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -91,14 +91,14 @@
 			continue
 		}
 		if err != nil {
-			l.handleHoldError(ctx, err)
+			l.handleHoldError(ctx, call, err)
 			logstream.Sleep(ctx, backoff)
 			backoff = min(maxHoldBackoff, 2*backoff)
 			wait = 0
 			continue
 		}
 		backoff = minHoldBackoff
-		l.env.report(ctx, holdReply{worker: l.worker().ID, report: report, sent: sent, expiry: l.leaseExpiry()})
+		l.env.report(ctx, holdReply{worker: l.worker().ID, report: report, sent: call.sent, expiry: l.leaseExpiry()})
 		wait = l.awaitAck(ctx, report)
 	}
 }
@@ -128,15 +128,22 @@
 	return holdWait
 }
 
-func (l *link) hold(ctx context.Context, wait time.Duration) (HoldReport, time.Time, error) {
+// holdCall is one hold: when it was sent, and what it requested.
+type holdCall struct {
+	sent  time.Time
+	order HoldOrder
+}
+
+func (l *link) hold(ctx context.Context, wait time.Duration) (HoldReport, holdCall, error) {
 	if !l.env.ordersAllowed() {
-		return HoldReport{}, time.Time{}, errNoGrant
+		return HoldReport{}, holdCall{}, errNoGrant
 	}
 	sent := l.env.clock.Now()
 	order := HoldOrder{LeaseUntilMS: l.extendLease(sent), Epoch: l.env.epoch, Wait: wait}
 	if !l.attachAck(sent, &order) {
 		order.Wait = 0
 	}
+	call := holdCall{sent: sent, order: order}
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
 	l.setHold(sent, cancelCause)
@@ -144,18 +151,18 @@
 	defer cancel()
 	report, err := l.env.workers.Hold(callCtx, l.worker(), order)
 	if err != nil && errors.Is(context.Cause(ctx), errHoldSuperseded) {
-		return report, sent, errHoldSuperseded
+		return report, call, errHoldSuperseded
 	}
 	if err != nil {
 		if callCtx.Err() != nil {
 			l.margin.recordUnanswered()
 		}
-		return report, sent, err
+		return report, call, err
 	}
 	l.observeLatency(l.env.clock.Now().Sub(sent), order.Wait)
 	l.recordAnswer(report, sent)
 	l.confirmAck(order.Ack)
-	return report, sent, nil
+	return report, call, nil
 }
 
 // observeLatency records how long an answer took beyond the wait of its hold. A shorter answer says
@@ -217,35 +224,6 @@
 	return l.reportWanted
 }
 
-// extendLease returns the lease to request. The lease is not extended while the worker does not
-// answer, so that the time at which everything has expired does not move.
-func (l *link) extendLease(now time.Time) int64 {
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	if l.workerClockMS == 0 || !l.reachable {
-		return l.leaseUntilMS
-	}
-	lease := l.env.bounds.leaseToRequest(now)
-	l.leaseUntilMS = max(l.leaseUntilMS, l.workerClockMS+now.Sub(l.workerClockAt).Milliseconds()+lease.Milliseconds())
-	// A lease requested under a longer bound is not shortened.
-	if expiry := now.Add(placing.LeaseExpiry(lease)); expiry.After(l.expiry) {
-		l.expiry = expiry
-	}
-	return l.leaseUntilMS
-}
-
-// leaseForStart returns the lease that a start carries.
-func (l *link) leaseForStart(now time.Time) int64 {
-	l.lock.Lock()
-	remaining := l.leaseUntilMS - l.workerClockMS - now.Sub(l.workerClockAt).Milliseconds()
-	until := l.leaseUntilMS
-	l.lock.Unlock()
-	if remaining > minStartLease.Milliseconds() {
-		return until
-	}
-	return l.extendLease(now)
-}
-
 // recordAnswer records the answer to a hold that was sent at the given time.
 func (l *link) recordAnswer(report HoldReport, sent time.Time) {
 	l.lock.Lock()
@@ -261,15 +239,14 @@
 	l.reachable = true
 }
 
-func (l *link) handleHoldError(ctx context.Context, err error) {
+func (l *link) handleHoldError(ctx context.Context, call holdCall, err error) {
 	l.lock.Lock()
 	wasReachable := l.reachable
 	l.reachable = false
-	leaseLeft := l.expiry.Sub(l.env.clock.Now())
 	l.lock.Unlock()
 	if wasReachable {
-		l.env.log.WithField("worker", l.worker().ID).WithField("lease_left_ms", leaseLeft.Milliseconds()).
-			WithField("error", err.Error()).Info("worker_silent")
+		l.logLease(call.order.LeaseUntilMS).WithField("sent_ms_ago", l.env.clock.Now().Sub(call.sent).Milliseconds()).
+			WithField("ack", call.order.Ack).WithField("error", err.Error()).Info("worker_silent")
 	}
 	var refused *OrderError
 	if errors.As(err, &refused) {
@@ -277,16 +254,17 @@
 		return
 	}
 	l.env.report(ctx, holdFailure{worker: l.worker().ID, expiry: l.leaseExpiry()})
-	l.reportIncarnation(ctx, err)
+	l.reportIncarnation(ctx, call.order.LeaseUntilMS, err)
 }
 
-// reportIncarnation reports that another incarnation of the worker has answered.
-func (l *link) reportIncarnation(ctx context.Context, err error) {
+// reportIncarnation reports that another incarnation of the worker has answered an order that requested
+// a lease.
+func (l *link) reportIncarnation(ctx context.Context, leaseUntilMS int64, err error) {
 	var other *OtherIncarnationError
 	if !errors.As(err, &other) {
 		return
 	}
-	l.env.log.WithField("worker", l.worker().ID).WithField("born", other.BornMS).Info("worker_life")
+	l.logLease(leaseUntilMS).WithField("born", other.BornMS).Info("worker_life")
 	l.env.report(ctx, incarnationChange{worker: l.worker().ID, bornMS: other.BornMS})
 }
 
@@ -306,27 +284,6 @@
 	return l.entry
 }
 
-// extendExpiry accounts for a start sent at the given time that was not answered. A later
-// incarnation of the worker may have accepted it. That one reads the lease, which is on the clock
-// of the former incarnation, as the longest lease that it grants from then on.
-func (l *link) extendExpiry(sent time.Time) {
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	if l.entry.BornMS == 0 {
-		return
-	}
-	if expiry := sent.Add(placing.LeaseExpiry(l.env.bounds.maxGrantedLease(sent))); expiry.After(l.expiry) {
-		l.expiry = expiry
-	}
-}
-
-// leaseExpiry returns the time at which the lease has expired for certain.
-func (l *link) leaseExpiry() time.Time {
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	return l.expiry
-}
-
 // newestAck returns the number of the newest end that the worker may forget.
 func (l *link) newestAck() int64 {
 	l.lock.Lock()
--- a/batch/order.go
+++ b/batch/order.go
@@ -62,8 +62,8 @@
 	}
 	l.env.startTime.Update(l.env.clock.Now().Sub(sent).Microseconds())
 	if err != nil {
-		l.env.log.WithField("job", order.Task.Job).WithField("task", order.Task.String()).WithField("run", order.Run).
-			WithField("worker", order.Worker).WithField("error", err.Error()).Info("start_failed")
+		l.logLease(0).WithField("job", order.Task.Job).WithField("task", order.Task.String()).WithField("run", order.Run).
+			WithField("error", err.Error()).Info("start_failed")
 	}
 	l.handleOrderError(ctx, err)
 	l.env.report(ctx, startReply{worker: order.Worker, task: order.Task, run: order.Run, result: result})
@@ -112,7 +112,7 @@
 		l.handleRefusal(ctx, refused)
 		return
 	}
-	l.reportIncarnation(ctx, err)
+	l.reportIncarnation(ctx, 0, err)
 }
 
 func (l *link) sendOnce(ctx context.Context, class orderClass, withdrawn <-chan struct{}, send func(context.Context) error) error {
--- a/batch/restart_test.go
+++ b/batch/restart_test.go
@@ -164,7 +164,7 @@
 		is.Equal(hold(), int64(0)) // another incarnation may answer now
 		is.Equal(hold(), int64(6))
 		link.acknowledge(7)
-		link.handleHoldError(t.Context(), errSimDown)
+		link.handleHoldError(t.Context(), holdCall{}, errSimDown)
 		is.Equal(hold(), int64(0))
 		is.Equal(hold(), int64(7))
 	})
