e2e: workers restart under their IDs and are cut off soon after

standin: a Proxy can lose all bytes of the connections that are open, for good, and can hold their bytes to the target until they are released. A TaskWorker's clock can be ahead at its start, and a TaskChecker keeps the starts and ends of each task, to explain a violation. No existing check changes.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -23,22 +23,25 @@
 // fleet runs `teaselcleat front` instances as processes on a stand-in of the users' platform,
 // with stand-ins of its store and workers in the test process.
 type fleet struct {
-	t              testing.TB
-	store          *standin.KeyedStore
-	storeServer    *httptest.Server
-	storeAddr      string
-	reuseIDs       bool                     // restarted workers keep their IDs
-	taskDuration   time.Duration            // duration of a task on a worker
-	rackSize       int                      // machines per rack; 0 puts all in one rack
-	useProxies     bool                     // every connection to workers, the store and instances passes a proxy
-	checker        *standin.TaskChecker     // checks that no task runs twice or in an evacuated zone; nil for none
-	gangs          *standin.GangCoordinator // lets the tasks of a gang start and end together
-	earlierBinary  string                   // binary of an earlier version that every second instance runs; empty for none
-	startCount     int                      // instances started so far
-	machines       []*machine
-	incarnationsMu sync.Mutex
-	incarnations   []*standin.TaskWorker // all incarnations so far, including the current ones
-	instances      []*frontInstance
+	t                testing.TB
+	store            *standin.KeyedStore
+	storeServer      *httptest.Server
+	storeAddr        string
+	reuseIDs         bool                     // restarted workers keep their IDs
+	registerAfter    time.Duration            // after a restart until a worker that keeps its ID is listed; 0 for registerDelay at every second restart
+	initialUptime    time.Duration            // by which the clocks of the first incarnations of workers are ahead
+	deliverLateCalls bool                     // a worker carries out calls that were sent to its earlier incarnations and arrive late
+	taskDuration     time.Duration            // duration of a task on a worker
+	rackSize         int                      // machines per rack; 0 puts all in one rack
+	useProxies       bool                     // every connection to workers, the store and instances passes a proxy
+	checker          *standin.TaskChecker     // checks that no task runs twice or in an evacuated zone; nil for none
+	gangs            *standin.GangCoordinator // lets the tasks of a gang start and end together
+	earlierBinary    string                   // binary of an earlier version that every second instance runs; empty for none
+	startCount       int                      // instances started so far
+	machines         []*machine
+	incarnationsMu   sync.Mutex
+	incarnations     []*standin.TaskWorker // all incarnations so far, including the current ones
+	instances        []*frontInstance
 }
 
 // frontInstance is one instance of a fleet: its process, proxies, addresses and files.
--- a/e2e/machine_test.go
+++ b/e2e/machine_test.go
@@ -43,6 +43,8 @@
 	mu               sync.Mutex
 	incarnation      *standin.TaskWorker // nil while the machine is down
 	incarnationCount int
+	cutOff           bool   // it cannot write its entry
+	pollAnswered     func() // called once, before the next answer to a poll is sent; may be nil
 }
 
 func newMachine(f *fleet, name string) *machine {
@@ -66,15 +68,30 @@
 
 // ServeHTTP implements http.Handler. It aborts the connection while the machine is down, and if
 // the connection was accepted by an earlier incarnation: delayed requests must not reach the next
-// one.
+// one, unless the fleet delivers late calls.
 func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
 	incarnation := m.incarnation
 	m.mu.Unlock()
-	if incarnation == nil || r.Context().Value(incarnationKey{}) != incarnation {
+	accepted := r.Context().Value(incarnationKey{})
+	if incarnation == nil || accepted != incarnation && !m.fleet.deliverLateCalls {
 		panic(http.ErrAbortHandler)
 	}
 	incarnation.ServeHTTP(w, r)
+	if r.URL.Path == "/api/hold" {
+		m.notifyPollAnswered()
+	}
+}
+
+// notifyPollAnswered calls pollAnswered. The answer is sent when its handler returns.
+func (m *machine) notifyPollAnswered() {
+	m.mu.Lock()
+	notify := m.pollAnswered
+	m.pollAnswered = nil
+	m.mu.Unlock()
+	if notify != nil {
+		notify()
+	}
 }
 
 // startIncarnation starts and registers the next incarnation: under the worker's ID, where the start time
@@ -88,6 +105,9 @@
 	if m.fleet.reuseIDs {
 		id, bornMS = m.name, time.Now().UnixMilli()
 		delay = time.Duration((m.incarnationCount+1)%2) * registerDelay
+		if m.incarnationCount > 1 && m.fleet.registerAfter > 0 {
+			delay = m.fleet.registerAfter
+		}
 	}
 	incarnation := standin.NewTaskWorker(id, m.fleet.taskDuration)
 	incarnation.BornMS = bornMS
@@ -99,6 +119,9 @@
 	if m.proxy != nil {
 		incarnation.UndelayedFor = m.proxy.FaultFreeFor
 	}
+	if m.incarnationCount == 1 {
+		incarnation.InitialUptime = m.fleet.initialUptime
+	}
 	incarnation.Crash = m.crash
 	m.incarnation = incarnation
 	time.AfterFunc(delay, func() { m.register(incarnation) })
@@ -109,11 +132,11 @@
 }
 
 // register writes the entry of an incarnation to the store, unless it is no longer the current
-// one.
+// one or is cut off.
 func (m *machine) register(incarnation *standin.TaskWorker) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.incarnation != incarnation {
+	if m.incarnation != incarnation || m.cutOff {
 		return
 	}
 	bornField := ""
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -15,6 +15,27 @@
 	BlockToTarget   bool          // bytes to the target are blocked
 	BlockFromTarget bool          // bytes from the target are blocked
 	Refuse          bool          // new connections are reset
+	// LoseToTarget and LoseFromTarget make connections that are open meanwhile lose all bytes of a
+	// direction, also after the faults were removed. The client sees no end of such a connection, as
+	// when the target has lost power and does not know the connection afterwards.
+	LoseToTarget, LoseFromTarget bool
+	// HoldToTarget makes connections that are open meanwhile hold their bytes to the target until
+	// ReleaseHeld, also after the faults were removed.
+	HoldToTarget bool
+}
+
+// connPair is a client's connection and the one to the target that continues it.
+type connPair struct {
+	client, server               net.Conn
+	losesToTarget, losesToClient bool
+	holdsToTarget                bool
+}
+
+// applyFaults applies the faults that outlast their removal.
+func (c *connPair) applyFaults(faults ProxyFaults) {
+	c.holdsToTarget = c.holdsToTarget || faults.HoldToTarget
+	c.losesToTarget = c.losesToTarget || faults.LoseToTarget
+	c.losesToClient = c.losesToClient || faults.LoseFromTarget
 }
 
 // Proxy is a TCP proxy that stands in for the network path to one target address and
@@ -27,7 +48,7 @@
 	faults        ProxyFaults
 	faultyUntil   time.Time     // when faults were last removed or replaced; zero if there were none
 	faultsChanged chan struct{} // closed and replaced when the faults change
-	conns         map[net.Conn]bool
+	pairs         map[*connPair]bool
 	closed        bool
 }
 
@@ -37,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: listener, faultsChanged: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &Proxy{target: target, listener: listener, faultsChanged: make(chan struct{}), pairs: map[*connPair]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -53,15 +74,41 @@
 		p.faultyUntil = time.Now()
 	}
 	p.faults = faults
+	for pair := range p.pairs {
+		pair.applyFaults(faults)
+	}
+	p.notifyRelays()
+}
+
+// notifyRelays makes relays that wait look at the faults again. The caller holds p.mu.
+func (p *Proxy) notifyRelays() {
 	close(p.faultsChanged)
 	p.faultsChanged = make(chan struct{})
 }
 
+// ReleaseHeld delivers the bytes that HoldToTarget has held.
+func (p *Proxy) ReleaseHeld() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for pair := range p.pairs {
+		if pair.holdsToTarget {
+			pair.holdsToTarget = false
+			p.faultyUntil = time.Now()
+		}
+	}
+	p.notifyRelays()
+}
+
 // FaultFreeFor reports whether there have been no faults for a time span, so that no
 // bytes that were sent before that span can still arrive.
 func (p *Proxy) FaultFreeFor(span time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for pair := range p.pairs {
+		if pair.holdsToTarget {
+			return false
+		}
+	}
 	return p.faults == ProxyFaults{} && time.Since(p.faultyUntil) >= span
 }
 
@@ -69,8 +116,9 @@
 func (p *Proxy) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for conn := range p.conns {
-		resetConn(conn)
+	for pair := range p.pairs {
+		resetConn(pair.client)
+		resetConn(pair.server)
 	}
 }
 
@@ -81,6 +129,7 @@
 	p.mu.Unlock()
 	p.listener.Close()
 	p.SetFaults(ProxyFaults{})
+	p.ReleaseHeld()
 	p.Reset()
 }
 
@@ -104,36 +153,74 @@
 		resetConn(client)
 		return
 	}
-	if !p.track(client, server) {
+	pair := &connPair{client: client, server: server}
+	if !p.track(pair) {
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { p.relay(client, server, func(f ProxyFaults) bool { return f.BlockToTarget }) })
-	wg.Go(func() { p.relay(server, client, func(f ProxyFaults) bool { return f.BlockFromTarget }) })
+	wg.Go(func() { p.relayToTarget(pair) })
+	wg.Go(func() { p.relayToClient(pair) })
 	wg.Wait()
-	p.untrack(client, server)
+	p.untrack(pair)
 }
 
 // track registers a pair of connections. If the proxy is closed, it resets them and
 // returns false.
-func (p *Proxy) track(client, server net.Conn) bool {
+func (p *Proxy) track(pair *connPair) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		resetConn(client)
-		resetConn(server)
+		resetConn(pair.client)
+		resetConn(pair.server)
 		return false
 	}
-	p.conns[client] = true
-	p.conns[server] = true
+	pair.applyFaults(p.faults)
+	p.pairs[pair] = true
 	return true
 }
 
-func (p *Proxy) untrack(client, server net.Conn) {
+func (p *Proxy) untrack(pair *connPair) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.conns, client)
-	delete(p.conns, server)
+	delete(p.pairs, pair)
+}
+
+// loses reports whether a pair loses the bytes to the target and those to the client.
+func (p *Proxy) loses(pair *connPair) (toTarget, toClient bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return pair.losesToTarget, pair.losesToClient
+}
+
+// holds reports whether a pair holds the bytes to the target.
+func (p *Proxy) holds(pair *connPair) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return pair.holdsToTarget
+}
+
+// relayToTarget copies the client's bytes until either side ends, then closes both.
+func (p *Proxy) relayToTarget(pair *connPair) {
+	defer pair.client.Close()
+	defer pair.server.Close()
+	p.relay(pair.client, pair.server, func(f ProxyFaults) bool { return f.BlockToTarget || p.holds(pair) }, func() bool {
+		toTarget, _ := p.loses(pair)
+		return toTarget
+	})
+}
+
+// relayToClient copies the target's bytes until either side ends, then closes both. If they are
+// lost, the client's connection stays open, since the client does not hear of the end.
+func (p *Proxy) relayToClient(pair *connPair) {
+	lost := func() bool {
+		_, toClient := p.loses(pair)
+		return toClient
+	}
+	p.relay(pair.server, pair.client, func(f ProxyFaults) bool { return f.BlockFromTarget }, lost)
+	pair.server.Close()
+	if !lost() {
+		pair.client.Close()
+	}
 }
 
 func (p *Proxy) currentFaults() (ProxyFaults, <-chan struct{}) {
@@ -142,20 +229,18 @@
 	return p.faults, p.faultsChanged
 }
 
-// relay copies bytes in one direction until either side ends, then closes both.
-func (p *Proxy) relay(from, to net.Conn, blocked func(ProxyFaults) bool) {
-	defer from.Close()
-	defer to.Close()
+// relay copies bytes in one direction until either side ends, and drops them while they are lost.
+func (p *Proxy) relay(from, to net.Conn, blocked func(ProxyFaults) bool, lost func() bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			if writeErr := p.writeChunks(to, buffer[:n], blocked); writeErr != nil {
+			if writeErr := p.writeChunks(to, buffer[:n], blocked, lost); writeErr != nil {
 				return
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if err != io.EOF && !lost() {
 				resetConn(to)
 			}
 			return
@@ -164,13 +249,16 @@
 }
 
 // writeChunks writes bytes in chunks, applying the faults to each.
-func (p *Proxy) writeChunks(to net.Conn, data []byte, blocked func(ProxyFaults) bool) error {
+func (p *Proxy) writeChunks(to net.Conn, data []byte, blocked func(ProxyFaults) bool, lost func() bool) error {
 	for len(data) > 0 {
 		size := len(data)
 		if faults, _ := p.currentFaults(); faults.MaxChunk > 0 {
 			size = min(size, faults.MaxChunk)
 		}
 		p.waitUnblocked(blocked)
+		if lost() {
+			return nil
+		}
 		if _, err := to.Write(data[:size]); err != nil {
 			return err
 		}
--- a/standin/proxy_test.go
+++ b/standin/proxy_test.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -99,3 +101,60 @@
 	defer conn.Close()
 	return exchange(conn)
 }
+
+// Bytes on a connection that was open during the fault stay lost. Later connections work.
+func TestProxyLosesBytesOfConnectionsOpenDuringFault(t *testing.T) {
+	for name, faults := range map[string]ProxyFaults{"towards": {LoseToTarget: true}, "from": {LoseFromTarget: true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			proxy := newEchoProxy(t)
+			before := dial(t, proxy)
+			is.NoErr(exchange(before))
+			proxy.SetFaults(faults)
+			during := dial(t, proxy)
+			for proxy.pairCount() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			for _, conn := range []net.Conn{before, during} {
+				is.NoErr(conn.SetDeadline(time.Now().Add(100 * time.Millisecond)))
+				is.True(exchange(conn) != nil)
+			}
+			proxy.SetFaults(ProxyFaults{})
+			for _, conn := range []net.Conn{before, during} {
+				is.NoErr(conn.SetDeadline(time.Now().Add(100 * time.Millisecond)))
+				err := exchange(conn)
+				is.True(errors.Is(err, os.ErrDeadlineExceeded)) // still silent, neither closed nor reset
+			}
+			is.NoErr(exchange(dial(t, proxy)))
+		})
+	}
+}
+
+func (p *Proxy) pairCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pairs)
+}
+
+func TestProxyDeliversHeldBytesOnRelease(t *testing.T) {
+	is := is.New(t)
+	proxy := newEchoProxy(t)
+	held := dial(t, proxy)
+	is.NoErr(exchange(held))
+	proxy.SetFaults(ProxyFaults{HoldToTarget: true})
+	_, err := held.Write([]byte("y"))
+	is.NoErr(err)
+	proxy.SetFaults(ProxyFaults{})
+	is.NoErr(exchange(dial(t, proxy)))
+	is.NoErr(held.SetDeadline(time.Now().Add(100 * time.Millisecond)))
+	answer := make([]byte, 1)
+	_, err = io.ReadFull(held, answer)
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	is.True(!proxy.FaultFreeFor(0))
+	proxy.ReleaseHeld()
+	is.NoErr(held.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = io.ReadFull(held, answer)
+	is.NoErr(err)
+	is.Equal(string(answer), "y")
+	is.True(proxy.FaultFreeFor(0))
+}
--- a/standin/taskchecker.go
+++ b/standin/taskchecker.go
@@ -15,6 +15,7 @@
 	started      map[string]int64       // seq of the last start, by task
 	acknowledged map[string]bool
 	violations   []string
+	history      map[string][]string // starts and ends, by task
 
 	evacuated      map[string]time.Time // start of the evacuation, by availability zone
 	evacuateWithin time.Duration        // time from the start of an evacuation until no task may start in the zone
@@ -22,7 +23,7 @@
 
 // NewTaskChecker returns a checker without tasks.
 func NewTaskChecker() *TaskChecker {
-	return &TaskChecker{running: map[string]*TaskWorker{}, started: map[string]int64{}, acknowledged: map[string]bool{}, evacuated: map[string]time.Time{}}
+	return &TaskChecker{running: map[string]*TaskWorker{}, started: map[string]int64{}, acknowledged: map[string]bool{}, history: map[string][]string{}, evacuated: map[string]time.Time{}}
 }
 
 // Evacuate records that an availability zone is evacuated: when within has passed, and
@@ -60,6 +61,19 @@
 	return append([]string(nil), c.violations...)
 }
 
+// History returns the starts and ends of a task, one a line, with their times.
+func (c *TaskChecker) History(task string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.history[task]...)
+}
+
+// addHistory records a start or an end. The caller holds c.mu.
+func (c *TaskChecker) addHistory(w *TaskWorker, task, event string) {
+	at := time.Now().UTC().Format("15:04:05.000")
+	c.history[task] = append(c.history[task], fmt.Sprintf("%s %s at %s, started at %d", at, event, w.ID, w.BornMS))
+}
+
 func (c *TaskChecker) addViolation(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
@@ -79,18 +93,20 @@
 		c.addViolation("%s run %d starts on %s after its end as done was acknowledged", task, run, w.ID)
 	}
 	c.checkZone(w, task, run)
+	c.addHistory(w, task, fmt.Sprintf("run %d starts", run))
 	c.running[task] = w
 	c.started[task] = c.seq
 }
 
 // recordEnd records that a task no longer runs on a worker, and returns the seq of its end.
-func (c *TaskChecker) recordEnd(w *TaskWorker, task string) int64 {
+func (c *TaskChecker) recordEnd(w *TaskWorker, task, outcome string) int64 {
 	if c == nil {
 		return 0
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seq++
+	c.addHistory(w, task, outcome)
 	if c.running[task] == w {
 		delete(c.running, task)
 	}
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -24,6 +24,7 @@
 	RunTime       time.Duration
 	MaxLease      time.Duration // longest lease; 0 for no limit
 	ClockSlowdown float64       // fraction of time that the worker's clock loses
+	InitialUptime time.Duration // time since the start of the worker's clock when it starts here
 	Crash         func()
 	Zone          string // availability zone
 	// UndelayedFor reports whether no order to the worker was delayed during the last span.
@@ -101,7 +102,7 @@
 	}
 	for task, run := range w.running {
 		run.cancel()
-		w.Checker.recordEnd(w, task)
+		w.Checker.recordEnd(w, task, "died")
 	}
 	clear(w.running)
 }
@@ -150,7 +151,8 @@
 
 // clockMS returns the time of the worker's clock, in milliseconds from its start plus 1.
 func (w *TaskWorker) clockMS() int64 {
-	return int64(float64(time.Since(w.startedAt).Milliseconds())*(1-w.ClockSlowdown)) + 1
+	uptime := w.InitialUptime + time.Since(w.startedAt)
+	return int64(float64(uptime.Milliseconds())*(1-w.ClockSlowdown)) + 1
 }
 
 // acceptOrder reads an order, refuses it if its epoch is lower than one seen before, and
@@ -305,7 +307,7 @@
 	if outcome == "done" {
 		w.done[task]++
 	}
-	seq := w.Checker.recordEnd(w, task)
+	seq := w.Checker.recordEnd(w, task, outcome)
 	w.ends = append(w.ends, taskEnd{cursor: w.lastCursor, run: run, row: []any{w.lastCursor, task, run.number, outcome, ""}, seq: seq})
 	close(w.endsChanged)
 	w.endsChanged = make(chan struct{})
