e2e: a late acknowledgement discards an end of the next incarnation

A poll that acknowledges ends of a worker's incarnation is held up, and reaches the next incarnation, which has ended a task under an acknowledged number. That end is discarded before the leader has read it. The worker is cut off, its lease expires, and the task runs again although it was done.

The variants are a plan with the number of workers and the kinds of jobs now. No existing check changes.

--- a/e2e/machine_test.go
+++ b/e2e/machine_test.go
@@ -43,8 +43,10 @@
 	mu               sync.Mutex
 	incarnation      *standin.TaskWorker // nil while the machine is down
 	incarnationCount int
-	cutOff           bool   // it cannot write its entry
-	pollAnswered     func() // called once, before the next answer to a poll is sent; may be nil
+	cutOff           bool // it cannot write its entry
+	// pollAnswered is called before an answer to a poll is sent, until it returns true. ends is the
+	// number of ends that wait for an acknowledgement. It may be nil.
+	pollAnswered func(ends int) (last bool)
 }
 
 func newMachine(f *fleet, name string) *machine {
@@ -79,18 +81,16 @@
 	}
 	incarnation.ServeHTTP(w, r)
 	if r.URL.Path == "/api/hold" {
-		m.notifyPollAnswered()
+		m.notifyPollAnswered(incarnation.UnacknowledgedEnds())
 	}
 }
 
 // notifyPollAnswered calls pollAnswered. The answer is sent when its handler returns.
-func (m *machine) notifyPollAnswered() {
+func (m *machine) notifyPollAnswered(ends int) {
 	m.mu.Lock()
-	notify := m.pollAnswered
-	m.pollAnswered = nil
-	m.mu.Unlock()
-	if notify != nil {
-		notify()
+	defer m.mu.Unlock()
+	if m.pollAnswered != nil && m.pollAnswered(ends) {
+		m.pollAnswered = nil
 	}
 }
 
--- a/e2e/restart_cut_faults_test.go
+++ b/e2e/restart_cut_faults_test.go
@@ -16,7 +16,7 @@
 // unlistOthers removes the entries of the workers that join later.
 func (r *restartCut) unlistOthers() {
 	for _, m := range r.machines {
-		if r.times.othersJoin && m.zone != r.zone {
+		if r.plan.othersJoin && m.zone != r.zone {
 			r.store.Put("keyed.servers", m.name, nil)
 		}
 	}
@@ -30,12 +30,12 @@
 			m.proxy.SetFaults(standin.ProxyFaults{HoldToTarget: true})
 		}
 	}
-	if r.times.afterPoll {
+	if r.plan.afterPoll {
 		r.waitPollAnswered(m, hold)
 	} else {
 		hold()
 	}
-	time.Sleep(r.times.heldBefore)
+	time.Sleep(r.plan.heldBefore)
 	crashedAt := time.Now()
 	r.firstCrash.Do(func() { r.schedule(faults) })
 	m.crashSilently(r.late)
@@ -43,39 +43,43 @@
 	r.addIncarnation(m.startIncarnation())
 	m.proxy.SetFaults(standin.ProxyFaults{})
 	if r.late {
-		time.AfterFunc(time.Until(crashedAt.Add(r.times.heldUntil)), m.proxy.ReleaseHeld)
+		time.AfterFunc(time.Until(crashedAt.Add(r.plan.heldUntil)), m.proxy.ReleaseHeld)
 	}
-	time.Sleep(time.Until(crashedAt.Add(r.times.cutAfter)))
-	m.cut(r.times.cutDuration, r.times.removeAfter)
+	time.Sleep(time.Until(crashedAt.Add(r.plan.cutAfter)))
+	m.cut(r.plan.cutDuration, r.plan.removeAfter)
 }
 
 // schedule schedules what follows the first crash.
 func (r *restartCut) schedule(faults *sync.WaitGroup) {
 	faults.Go(func() {
-		time.Sleep(r.times.submitUntil)
+		time.Sleep(r.plan.submitUntil)
 		close(r.stop)
 	})
 	for _, m := range r.machines {
-		if r.times.othersJoin && m.zone != r.zone {
-			time.AfterFunc(r.times.cutAfter, func() { m.register(m.currentIncarnation()) })
+		if r.plan.othersJoin && m.zone != r.zone {
+			time.AfterFunc(r.plan.cutAfter, func() { m.register(m.currentIncarnation()) })
 		}
 	}
 	if r.kill {
 		faults.Go(func() {
-			time.Sleep(r.times.killAfter)
+			time.Sleep(r.plan.killAfter)
 			r.killLeader()
 		})
 	}
 }
 
-// waitPollAnswered waits for an answer to a poll, and calls a function before it is sent. The next
-// poll is sent when the answer has arrived.
+// waitPollAnswered waits for an answer to a poll, which lists ends if the plan says so, and calls a
+// function before it is sent. The next poll is sent when the answer has arrived.
 func (r *restartCut) waitPollAnswered(m *machine, beforeAnswer func()) {
 	answered := make(chan struct{})
 	m.mu.Lock()
-	m.pollAnswered = func() {
+	m.pollAnswered = func(ends int) (last bool) {
+		if r.plan.afterEnds && ends == 0 {
+			return false
+		}
 		beforeAnswer()
 		close(answered)
+		return true
 	}
 	m.mu.Unlock()
 	<-answered
@@ -138,8 +142,8 @@
 		instance := r.instances[r.random.IntN(len(r.instances))]
 		r.instancesMu.Unlock()
 		body := longSingleJob
-		if !r.times.longOnly && len(r.ids)%shortJobInterval == 0 {
-			body = smallJob
+		if r.plan.shortInterval > 0 && len(r.ids)%r.plan.shortInterval == 0 {
+			body = shortSingleJob
 		}
 		id := fmt.Sprintf("%016x", 0xc0000+r.nextID)
 		r.nextID++
--- a/e2e/restart_cut_test.go
+++ b/e2e/restart_cut_test.go
@@ -35,15 +35,18 @@
 	jobInterval = 120 * time.Millisecond
 	// warmUp is the time of submissions before the crashes.
 	warmUp = time.Second
-	// shortJobInterval is the interval of short jobs among all, counted in jobs.
-	shortJobInterval = 4
 
-	longSingleJob = `{"spec":"long","steps":[{"count":1,"cpu":1000,"mem_mb":10,"gpu":1,"est_runtime_ms":11000}]}`
+	longSingleJob  = `{"spec":"long","steps":[{"count":1,"cpu":1000,"mem_mb":10,"gpu":1,"est_runtime_ms":11000}]}`
+	shortSingleJob = `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":10,"est_runtime_ms":1000}]}`
 )
 
-// restartCutTimes are the times of one run. Those after the crash of a worker count from there.
-type restartCutTimes struct {
+// restartCutPlan says what happens in one run. Times after the crash of a worker count from there.
+type restartCutPlan struct {
+	workers       int
+	taskDuration  time.Duration // of short tasks
+	shortInterval int           // one job in so many is short; 0 for none
 	afterPoll     bool          // each worker crashes as a poll arrives, not all at once
+	afterEnds     bool          // with afterPoll: after an answer that lists ends, which the next poll acknowledges
 	othersJoin    bool          // the workers of the other zone are listed when the cuts start, not from the beginning
 	cutAfter      time.Duration // start of the cut
 	registerAfter time.Duration // from the restart until the entry of the next incarnation is written
@@ -53,17 +56,28 @@
 	heldBefore    time.Duration // from the answer to a poll, or from when late calls are held up, until the crash
 	heldUntil     time.Duration // delivery of late calls
 	submitUntil   time.Duration // end of the submissions
-	longOnly      bool          // all jobs are long, so that no task ends before the cut
 }
 
-// fixedRestartCutTimes lets the poll in flight at the crash fail shortly after the start of the cut.
+// fixedRestartCutPlan lets the poll in flight at the crash fail shortly after the start of the cut.
 // Late calls arrive when the last start has been sent.
-var fixedRestartCutTimes = restartCutTimes{afterPoll: true, othersJoin: true, cutAfter: 2400 * time.Millisecond, registerAfter: time.Hour,
-	cutDuration: 7 * time.Second, removeAfter: entryTTL - time.Second, killAfter: 1800 * time.Millisecond, heldBefore: 50 * time.Millisecond,
-	heldUntil: 2200 * time.Millisecond, submitUntil: 1600 * time.Millisecond, longOnly: true}
+// All tasks are long, so that none ends before the cut.
+var fixedRestartCutPlan = restartCutPlan{workers: restartCutWorkers, taskDuration: restartCutTask, afterPoll: true, othersJoin: true,
+	cutAfter: 2400 * time.Millisecond, registerAfter: time.Hour, cutDuration: 7 * time.Second, removeAfter: entryTTL - time.Second, killAfter: 1800 * time.Millisecond,
+	heldBefore: 50 * time.Millisecond, heldUntil: 2200 * time.Millisecond, submitUntil: 1600 * time.Millisecond}
 
-func drawRestartCutTimes(random *rand.Rand) restartCutTimes {
-	times := restartCutTimes{
+// lateAckPlan lets tasks end at the next incarnation before a late call acknowledges ends of the
+// former one under the same numbers.
+func lateAckPlan() restartCutPlan {
+	plan := fixedRestartCutPlan
+	plan.workers, plan.taskDuration, plan.shortInterval, plan.afterEnds = 2, time.Second, 1, true
+	return plan
+}
+
+func drawRestartCutPlan(random *rand.Rand) restartCutPlan {
+	plan := restartCutPlan{
+		workers:       restartCutWorkers,
+		taskDuration:  restartCutTask,
+		shortInterval: 4,
 		afterPoll:     random.IntN(2) == 0,
 		othersJoin:    random.IntN(2) == 0,
 		cutAfter:      2200*time.Millisecond + drawUpTo(random, 500*time.Millisecond),
@@ -73,9 +87,9 @@
 		killAfter:     time.Second + drawUpTo(random, 2*time.Second),
 		heldBefore:    drawUpTo(random, 300*time.Millisecond),
 	}
-	times.submitUntil = time.Second + drawUpTo(random, times.cutAfter-time.Second)
-	times.heldUntil = darkDuration + drawUpTo(random, times.cutAfter-darkDuration)
-	return times
+	plan.submitUntil = time.Second + drawUpTo(random, plan.cutAfter-time.Second)
+	plan.heldUntil = darkDuration + drawUpTo(random, plan.cutAfter-darkDuration)
+	return plan
 }
 
 func drawUpTo(random *rand.Rand, limit time.Duration) time.Duration {
@@ -86,7 +100,7 @@
 // soon after.
 type restartCut struct {
 	*fleet
-	times       restartCutTimes
+	plan        restartCutPlan
 	zone        string
 	late        bool // calls to the former incarnations arrive late at the next ones
 	kill        bool // the leader is killed
@@ -110,25 +124,31 @@
 	testRestartCut(t, true)
 }
 
-// testRestartCut runs the fixed times, or those of each seed if there are any.
+// Guards against tasks that run again after the end of their run was discarded at the next incarnation
+// of their worker by an acknowledgement for the former one that arrived late.
+func TestPlatformLateAckAtNextIncarnationLosesNoEnd(t *testing.T) {
+	newRestartCut(t, true, lateAckPlan(), rand.New(rand.NewPCG(*restartCutSeed, 11))).run()
+}
+
+// testRestartCut runs the fixed plan, or one drawn for each seed if there are any.
 func testRestartCut(t *testing.T, late bool) {
 	if *restartCutSeeds == 0 {
-		newRestartCut(t, late, fixedRestartCutTimes, rand.New(rand.NewPCG(*restartCutSeed, 11))).run()
+		newRestartCut(t, late, fixedRestartCutPlan, rand.New(rand.NewPCG(*restartCutSeed, 11))).run()
 		return
 	}
 	for seed := range uint64(*restartCutSeeds) {
 		t.Run(fmt.Sprint(*restartCutSeed+seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(*restartCutSeed+seed, 11))
-			newRestartCut(t, late, drawRestartCutTimes(random), random).run()
+			newRestartCut(t, late, drawRestartCutPlan(random), random).run()
 		})
 	}
 }
 
-func newRestartCut(t *testing.T, late bool, times restartCutTimes, random *rand.Rand) *restartCut {
-	f := startFleet(&fleet{t: t, store: standin.NewKeyedStore(), taskDuration: restartCutTask, reuseIDs: true, useProxies: true, checker: standin.NewTaskChecker(),
-		registerAfter: times.registerAfter, initialUptime: restartCutUptime, deliverLateCalls: late}, 3, restartCutWorkers)
-	r := &restartCut{fleet: f, times: times, zone: fmt.Sprintf("z%d", 1+random.IntN(2)), late: late, kill: *restartCutKill, random: random, stop: make(chan struct{})}
-	t.Logf("zone %s, times %+v", r.zone, times)
+func newRestartCut(t *testing.T, late bool, plan restartCutPlan, random *rand.Rand) *restartCut {
+	f := startFleet(&fleet{t: t, store: standin.NewKeyedStore(), taskDuration: plan.taskDuration, reuseIDs: true, useProxies: true, checker: standin.NewTaskChecker(),
+		registerAfter: plan.registerAfter, initialUptime: restartCutUptime, deliverLateCalls: late}, 3, plan.workers)
+	r := &restartCut{fleet: f, plan: plan, zone: fmt.Sprintf("z%d", 1+random.IntN(2)), late: late, kill: *restartCutKill, random: random, stop: make(chan struct{})}
+	t.Logf("zone %s, plan %+v", r.zone, plan)
 	t.Cleanup(r.copyLogs)
 	return r
 }
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -123,6 +123,13 @@
 	return w.strayAcks
 }
 
+// UnacknowledgedEnds returns the number of ends that were not acknowledged.
+func (w *TaskWorker) UnacknowledgedEnds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.ends)
+}
+
 // Running returns the number of running tasks.
 func (w *TaskWorker) Running() int {
 	w.mu.Lock()
