Keep work off a restarted worker while an acknowledgement for its former incarnation may arrive

Cause: ends are numbered from 1 in each incarnation. An acknowledgement is sent only within 250 ms of an answer, which bounds when it leaves, not when it arrives: one that is held up until the next incarnation runs discards ends of that one which nobody has read. Their runs then counted as lost by the worker, and the discarded end as taken note of.

Change: the links say whether an acknowledgement is unconfirmed when a worker falls silent or another incarnation answers.

Weighed: sending each acknowledgement in a poll of its own with a short deadline. It doubles the polls of a busy worker and bounds only when we give up.

--- a/batch/link.go
+++ b/batch/link.go
@@ -43,6 +43,7 @@
 	lock          sync.Mutex
 	entry         placing.WorkerEntry
 	acked         int64 // newest end that the worker may forget
+	ackSent       int64 // newest acknowledgement that was sent
 	ackedByWorker int64 // newest end for which the worker has confirmed the acknowledgement
 	workerClockMS int64 // clock of the worker at workerClockAt; 0 while unknown
 	workerClockAt time.Time
@@ -187,9 +188,17 @@
 		return false
 	}
 	order.Ack = l.acked
+	l.ackSent = l.acked
 	return true
 }
 
+// ackUnanswered reports whether an acknowledgement was sent that the worker has not confirmed.
+func (l *link) ackUnanswered() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.ackSent > l.ackedByWorker
+}
+
 func (l *link) confirmAck(number int64) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
@@ -253,7 +262,7 @@
 		l.handleRefusal(ctx, refused)
 		return
 	}
-	l.env.report(ctx, holdFailure{worker: l.worker().ID, expiry: l.leaseExpiry()})
+	l.env.report(ctx, holdFailure{worker: l.worker().ID, expiry: l.leaseExpiry(), ackUnanswered: l.ackUnanswered()})
 	l.reportIncarnation(ctx, call.order.LeaseUntilMS, err)
 }
 
@@ -265,7 +274,7 @@
 		return
 	}
 	l.logLease(leaseUntilMS).WithField("born", other.BornMS).Info("worker_life")
-	l.env.report(ctx, incarnationChange{worker: l.worker().ID, bornMS: other.BornMS})
+	l.env.report(ctx, incarnationChange{worker: l.worker().ID, bornMS: other.BornMS, ackUnanswered: l.ackUnanswered()})
 }
 
 // handleRefusal reports refusals that concern more than the refused order.
@@ -320,22 +329,30 @@
 
 // holdFailure signals that a hold was not answered.
 type holdFailure struct {
-	worker string
-	expiry time.Time
+	worker        string
+	expiry        time.Time
+	ackUnanswered bool // an acknowledgement may still arrive
 }
 
 func (f holdFailure) apply(l *leader, now time.Time) {
+	if f.ackUnanswered {
+		l.engine.AckUnanswered(f.worker, now)
+	}
 	l.engine.WorkerUnreachable(f.worker, l.dispatchers.effectiveExpiry(f.worker, f.expiry), now)
 	l.dispatchers.recordSilence(f.worker, now)
 }
 
 // incarnationChange signals that another incarnation answers at the address of a worker.
 type incarnationChange struct {
-	worker string
-	bornMS int64 // of a later incarnation of the same worker; 0 for another worker at the address
+	worker        string
+	bornMS        int64 // of a later incarnation of the same worker; 0 for another worker at the address
+	ackUnanswered bool  // an acknowledgement for the known incarnation may still arrive
 }
 
 func (c incarnationChange) apply(l *leader, now time.Time) {
+	if c.ackUnanswered {
+		l.engine.AckUnanswered(c.worker, now)
+	}
 	next, ok := l.engine.ReplaceIncarnation(c.worker, c.bornMS, now)
 	if ok {
 		l.dispatchers.updateWorkers([]placing.WorkerEntry{next}, now)
--- a/batch/nextincarnation_test.go
+++ b/batch/nextincarnation_test.go
@@ -22,8 +22,9 @@
 	listDelay   time.Duration // from the crash until the list shows the next incarnations
 	cutDelay    time.Duration // from the crash
 	cutDuration time.Duration
-	deliverLate bool // holds in flight reach the next incarnation
-	cutAll      bool // not only the workers that have tasks
+	deliverLate bool          // holds in flight reach the next incarnation
+	lateBy      time.Duration // from its start
+	cutAll      bool          // not only the workers that have tasks
 }
 
 // entryExpiry is how long after it was cut off a worker is no longer listed.
@@ -38,7 +39,7 @@
 				f.play(restartPlay{crashAfter: after, downtime: 600 * time.Millisecond, listDelay: 2400 * time.Millisecond,
 					cutDelay: 2400 * time.Millisecond, cutDuration: 9 * time.Second})
 				is.Equal(f.doubleRuns(), 0)
-				is.Equal(f.doneTasks(), 4)
+				is.Equal(f.doneTasks(), 4+16)
 			})
 		})
 	}
@@ -54,14 +55,30 @@
 			play := restartPlay{crashAfter: upTo(2 * holdWait), downtime: 300*time.Millisecond + upTo(time.Second), listDelay: 300*time.Millisecond + upTo(4*time.Second),
 				cutDuration: 2*time.Second + upTo(12*time.Second), deliverLate: rng.IntN(2) == 0, cutAll: rng.IntN(4) == 0}
 			play.cutDelay = play.downtime + upTo(3*time.Second)
+			play.lateBy = upTo(holdWait)
 			workers, instances := 8, 0
 			if seed%40 == 19 {
 				workers, instances = manyWorkers, 8
 			}
-			inFleet(t, workers, instances, time.Second+upTo(12*time.Second), func(f *testFleet, is *is.I) {
+			inFleet(t, workers, instances, 300*time.Millisecond+upTo(time.Duration(1+seed%3)*4*time.Second), func(f *testFleet, is *is.I) {
 				f.play(play)
 				is.Equal(f.doubleRuns(), 0)
-				is.Equal(f.doneTasks(), workers/2)
+				is.Equal(f.doneTasks(), workers/2+2*workers)
+			})
+		})
+	}
+}
+
+// Guards against a task that runs again because an acknowledgement for the former incarnation of its worker
+// arrived late and discarded its end at the next one.
+func TestLateAckAtNextIncarnationRunsNothingTwice(t *testing.T) {
+	for after := time.Duration(0); after < time.Second; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			inFleet(t, 8, 0, 400*time.Millisecond, func(f *testFleet, is *is.I) {
+				f.play(restartPlay{crashAfter: after, downtime: 300 * time.Millisecond, listDelay: 350 * time.Millisecond,
+					cutDelay: 600 * time.Millisecond, cutDuration: 2 * time.Second, deliverLate: true, lateBy: time.Second, cutAll: true})
+				is.Equal(f.doubleRuns(), 0)
+				is.Equal(f.doneTasks(), 4+16)
 			})
 		})
 	}
@@ -71,16 +88,19 @@
 // all is over.
 func (f *testFleet) play(p restartPlay) {
 	f.keepListComplete()
+	f.submit("a8", 2*len(f.workers.entries())) // has ends that are acknowledged
 	time.Sleep(p.crashAfter)
 	crashAt := time.Now()
-	f.workers.restartAllSilently(p.downtime, p.deliverLate)
+	f.workers.restartAllSilently(p)
 	f.at(crashAt.Add(p.listDelay), func() { f.refreshWorkerList() })
 	var cut []string
 	f.at(crashAt.Add(p.cutDelay), func() {
 		cut = f.workers.cutOff(p.cutAll)
 	})
-	f.at(crashAt.Add(p.cutDelay+entryExpiry), func() { f.unlistWorkers(cut) })
-	f.at(crashAt.Add(p.cutDelay+max(p.cutDuration, entryExpiry+time.Second)), func() {
+	if p.cutDuration > entryExpiry {
+		f.at(crashAt.Add(p.cutDelay+entryExpiry), func() { f.unlistWorkers(cut) })
+	}
+	f.at(crashAt.Add(p.cutDelay+p.cutDuration), func() {
 		for _, name := range cut {
 			f.workers.setCut("*", name, false)
 		}
@@ -114,13 +134,14 @@
 }
 
 // restartAllSilently restarts all workers; see the fields of simWorker.
-func (s *simWorkers) restartAllSilently(downtime time.Duration, deliverLate bool) {
+func (s *simWorkers) restartAllSilently(p restartPlay) {
 	for name := range s.entries() {
 		s.lock.Lock()
 		s.workers[name].silentRestart = true
-		s.workers[name].deliverLate = deliverLate
+		s.workers[name].deliverLate = p.deliverLate
+		s.workers[name].lateBy = p.lateBy
 		s.lock.Unlock()
-		s.restart(name, downtime)
+		s.restart(name, p.downtime)
 	}
 }
 
--- a/batch/session.go
+++ b/batch/session.go
@@ -248,10 +248,10 @@
 		list = append(list, reportFromPB(report, m.receivedAt))
 	}
 	for _, silence := range m.message.Silent {
-		list = append(list, holdFailure{worker: silence.Worker, expiry: expiryTime(silence.LapseIn, m.receivedAt)})
+		list = append(list, holdFailure{worker: silence.Worker, expiry: expiryTime(silence.LapseIn, m.receivedAt), ackUnanswered: true})
 	}
 	for _, change := range m.message.Reborn {
-		list = append(list, incarnationChange{worker: change.Worker, bornMS: change.BornMs})
+		list = append(list, incarnationChange{worker: change.Worker, bornMS: change.BornMs, ackUnanswered: true})
 	}
 	for _, silence := range m.message.Released {
 		list = append(list, release{worker: silence.Worker, expiry: expiryTime(silence.LapseIn, m.receivedAt)})
--- a/batch/simworkers_test.go
+++ b/batch/simworkers_test.go
@@ -19,9 +19,10 @@
 	clockStart time.Time // zero of its clock
 	down       bool      // between two incarnations
 	// silentRestart means that the worker resets no connection when it restarts; deliverLate, that the
-	// next incarnation carries out the holds that were in flight, without an answer.
+	// next incarnation carries out the holds that were in flight, without an answer, lateBy after its start.
 	silentRestart bool
 	deliverLate   bool
+	lateBy        time.Duration
 	startCount    int       // runs in this incarnation
 	startedAt     time.Time // when the newest run began
 	epoch         int64     // highest received; orders with a lower one are refused
@@ -216,6 +217,20 @@
 	w.ends = append(w.ends, placing.EndedTask{Number: w.lastEnd, Task: key.task, Run: key.run, Kind: how})
 }
 
+// carryOutLate carries a hold for a former incarnation out, after lateBy.
+func (w *simWorker) carryOutLate(s *simWorkers, order HoldOrder) {
+	bornMS := w.bornMS
+	time.AfterFunc(w.lateBy, func() {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		if w.bornMS == bornMS && !w.down {
+			w.advance(s)
+			w.extendLease(order.LeaseUntilMS)
+			w.acknowledgeEnds(s, order.Ack)
+		}
+	})
+}
+
 // acknowledgeEnds drops the ends up to a number.
 func (w *simWorker) acknowledgeEnds(s *simWorkers, upTo int64) {
 	for len(w.ends) > 0 && w.ends[0].Number <= upTo {
@@ -360,8 +375,7 @@
 		if bornMS != 0 && w.bornMS != bornMS {
 			silent := w.silentRestart
 			if w.deliverLate {
-				w.extendLease(order.LeaseUntilMS)
-				w.acknowledgeEnds(c.fleet, order.Ack)
+				w.carryOutLate(c.fleet, order)
 			}
 			c.fleet.lock.Unlock()
 			if silent {
--- a/placing/node.go
+++ b/placing/node.go
@@ -36,6 +36,7 @@
 	leasesExpireAt         time.Time // when all leases there expire, unless renewed
 	laterLeasesExpireAt    time.Time // when leases of orders expire that a later incarnation may have carried out
 	stray                  strayOrders
+	sentAcks               sentAcks
 	runs                   []*run         // that may be there
 	used                   jobs.Resources // by runs
 	at                     int            // index in the view of the present pass
--- a/placing/records.go
+++ b/placing/records.go
@@ -115,6 +115,7 @@
 			e.plan.Acks = map[string]int64{}
 		}
 		e.plan.Acks[node.entry.ID] = number
+		node.sentAcks.any = true
 	}
 	e.acksInFlight = map[*node]int64{}
 }
--- /dev/null
+++ b/placing/strayacks_test.go
@@ -0,0 +1,53 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against ends that an acknowledgement for the former incarnation of a worker discards at the next one.
+func TestNoWorkWhileAckForFormerIncarnationMayArrive(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		ack, lost bool // an acknowledgement was sent, and not confirmed
+		byAnswer  bool // the former's link has met the next incarnation; otherwise that one's own link has
+		heldBack  bool
+	}{
+		{"none was sent", false, false, true, false},
+		{"confirmed", true, false, true, false},
+		{"not confirmed", true, true, true, true},
+		{"not known", true, false, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine(1)
+			first, later := incarnationEntry("w1", 100), incarnationEntry("w1", 200)
+			e.UpdateWorkers([]WorkerEntry{first}, testStart)
+			e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
+			e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
+			e.MarkJobsComplete()
+			key := startAll(e, testStart)[0].Task
+			if c.ack {
+				now := testStart.Add(time.Second)
+				e.Report(first.ID, now, nil, []EndedTask{{Number: 1, Task: key, Run: 1, Kind: EndFailed}}, time.Time{}, now)
+				e.Decide(now)
+				e.MarkRecordsDurable(now)
+				is.Equal(len(e.Decide(now).Acks), 1)
+			}
+			now := testStart.Add(2 * time.Second)
+			if c.lost {
+				e.AckUnanswered(first.ID, now)
+			}
+			if c.byAnswer {
+				e.ReplaceIncarnation(first.ID, 200, now)
+			}
+			e.UpdateWorkers([]WorkerEntry{later}, now)
+			e.Report(later.ID, now, nil, nil, time.Time{}, now)
+			is.Equal(e.nodes[later.ID].usable(now), !c.heldBack)
+			is.Equal(e.nodes[later.ID].usable(now.Add(maxOrderDelay-time.Millisecond)), !c.heldBack)
+			is.True(e.nodes[later.ID].usable(now.Add(maxOrderDelay)))
+		})
+	}
+}
--- a/placing/strayleases.go
+++ b/placing/strayleases.go
@@ -18,7 +18,8 @@
 // strayOrders is what orders to former incarnations of a worker may still do to a later one. It is kept by
 // the worker's name, as the records of incarnations without runs are dropped.
 type strayOrders struct {
-	leasesExpireAt time.Time // when the leases have expired that such an order may be granted
+	leasesExpireAt  time.Time // when the leases have expired that such an order may be granted
+	acksArriveUntil time.Time // until when an acknowledgement may arrive
 }
 
 // AnswerOrigin says which incarnation of a worker has answered a start.
@@ -73,6 +74,7 @@
 	name := former.entry.Name
 	stray := e.strayOrders[name]
 	stray.leasesExpireAt = laterTime(stray.leasesExpireAt, e.withdrawnLeasesExpireAt(now))
+	stray.acksArriveUntil = laterTime(stray.acksArriveUntil, former.acksArriveUntil(now))
 	e.strayOrders[name] = stray
 	for _, later := range e.otherIncarnations(former) {
 		later.expectStrayOrders(stray)
@@ -82,7 +84,7 @@
 // expireStrayOrders drops what can have no effect any more.
 func (e *Engine) expireStrayOrders(now time.Time) {
 	for name, stray := range e.strayOrders {
-		if now.After(stray.leasesExpireAt) {
+		if now.After(stray.leasesExpireAt) && now.After(stray.acksArriveUntil) {
 			delete(e.strayOrders, name)
 		}
 	}
