--- a/jobs/bounds.go
+++ b/jobs/bounds.go
@@ -1,5 +1,10 @@
 package jobs
 
+import (
+	"unicode"
+	"unicode/utf8"
+)
+
 // Bounds of what records and entries of other writers may state. Within them no sum or product that
 // placing forms over the tasks of a job, the workers of a rack or the jobs of a workspace overflows.
 const (
@@ -8,6 +13,8 @@
 	MaxAccelerators int64 = 1 << 20
 	// MaxTimeMS bounds times of day in Unix milliseconds, and workers' clocks: the year 2100.
 	MaxTimeMS int64 = 4_102_444_800_000
+	// MaxNameBytes bounds IDs and names that other writers choose.
+	MaxNameBytes = 128
 )
 
 // Valid reports whether no resource is negative or above its bound.
@@ -17,3 +24,17 @@
 
 // inRange reports whether a number is between 0 and a bound.
 func inRange(number, bound int64) bool { return number >= 0 && number <= bound }
+
+// ValidName reports whether a name can be sent in headers and messages: it is not empty, has at most
+// MaxNameBytes and consists of printable characters without spaces.
+func ValidName(name string) bool {
+	if name == "" || len(name) > MaxNameBytes {
+		return false
+	}
+	for _, char := range name { // bytes that are not UTF-8 are read as utf8.RuneError
+		if char == utf8.RuneError || !unicode.IsGraphic(char) || unicode.IsSpace(char) {
+			return false
+		}
+	}
+	return true
+}
