--- a/placing/incarnation.go
+++ b/placing/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -20,6 +21,13 @@
 	return name + "@" + strconv.FormatInt(bornMS, 10)
 }
 
+// NamesIncarnation reports whether a name has the form of the ID of an incarnation of another worker.
+func NamesIncarnation(name string) bool {
+	at := strings.LastIndexByte(name, '@')
+	_, err := strconv.ParseInt(name[at+1:], 10, 64)
+	return at >= 0 && err == nil
+}
+
 // answerRetention is how long the answer of an incarnation rules out list entries of
 // earlier ones. A worker's own entry follows within seconds; if it still names an earlier
 // incarnation after that, the answer is out of date, as when the worker's time of day was
