An entry at another worker's address is no loss for good

Callers saw: an entry under a name of its own that states the address of a worker makes that worker count as recently restarted as long as it is listed, so work avoids it, and no loss of any worker counts as early. A task that ends its workers is then noticed later.

Cause: the worker at the address answers that it is another one. The node is dropped, listed again with the next read, and each answer counts as a new silence and a new restart.

Change: the leader keeps which listed nodes are known to be misdirected. Further answers change nothing unless the node has reported or has runs, which are lost as before.

--- a/placing/engine.go
+++ b/placing/engine.go
@@ -30,6 +30,7 @@
 	estimates           map[string]*estimate  // by queue
 	queueWork           map[string]*queueWork // by queue
 	recentlyRestarted   map[string]time.Time  // by address: until when incarnations there count as recently restarted
+	misdirected         map[string]bool       // listed workers at whose address another one answers, by ID
 	evacuations         evacuations
 	speedVariance       speedVariance
 	speedsHandover      speedsHandover
@@ -85,6 +86,7 @@
 		estimates:         map[string]*estimate{},
 		queueWork:         map[string]*queueWork{},
 		recentlyRestarted: map[string]time.Time{},
+		misdirected:       map[string]bool{},
 		demands:           map[string]*demands{},
 		idlePools:         map[string]idlePool{},
 		unreached:         unreachedWorkers{inherited: map[string]time.Time{}, reached: map[string]bool{}, returned: map[string]bool{}},
--- a/placing/incarnation.go
+++ b/placing/incarnation.go
@@ -99,8 +99,11 @@
 	}
 	defer e.removeNodes(now)
 	if bornMS == 0 || former.entry.Name == "" {
-		e.markSilent(former, now)
 		former.listed = false
+		if e.isKnownMisdirected(former) {
+			return WorkerEntry{}, false
+		}
+		e.markSilent(former, now)
 		e.loseWorker(former, "worker reborn", now)
 		return WorkerEntry{}, false
 	}
--- a/placing/node.go
+++ b/placing/node.go
@@ -151,6 +151,7 @@
 		e.updateEvacuated(n, now)
 		n.recentlyRestartedUntil = e.recentlyRestarted[entry.Address]
 	}
+	e.expireMisdirected()
 	e.removeNodes(now)
 	e.updateUnreached()
 	e.expireAnswers(now)
--- a/placing/recently_restarted.go
+++ b/placing/recently_restarted.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// isKnownMisdirected records that another worker answers at the address of a node. It reports whether that
+// was known and nothing is lost with the node: its entry may stay in the list for good.
+func (e *Engine) isKnownMisdirected(n *node) bool {
+	known := e.misdirected[n.entry.ID]
+	e.misdirected[n.entry.ID] = true
+	return known && !n.reported && len(n.runs) == 0
+}
+
+// expireMisdirected drops the nodes that are not listed any more.
+func (e *Engine) expireMisdirected() {
+	for id := range e.misdirected {
+		if n := e.nodes[id]; n == nil || !n.listed {
+			delete(e.misdirected, id)
+		}
+	}
+}
+
 // silenceDetail returns, for the log, how long a node has not answered. A node on which a former
 // leader placed work may never have answered this one.
 func (n *node) silenceDetail(now time.Time) string {
