Bound the numbers of jobs on record

Callers saw: a job on record whose queue has a priority near 2^63, where the configuration has no such queue, and the leader does not end a pass any more; each next leader reads it too. An occurrence whose time overflows runs at once. Accelerators of a job that overflow make a workspace beyond its guarantee count as within. A job whose ID has a dot is started, and the worker's answers cannot be read from then on.

Cause: the record's numbers were used as they are: a loop as long as the priority, sums and durations that overflow in 64 bits, and conversions of floats that differ between amd64 and arm64.

Change: on reading, numbers of a job and of a configured queue are moved to their bounds in jobs/bounds.go. They are not refused, as the users' pages state none and the job may be accepted: a need above every capacity fits nowhere as before, an estimate counts for 90 days at most. An ID that no task's name can hold is refused; callers cannot submit one.

--- a/jobs/bounds.go
+++ b/jobs/bounds.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"unicode"
 	"unicode/utf8"
 )
@@ -11,8 +12,14 @@
 	MaxMilliCores   int64 = 1 << 30 // a million cores
 	MaxMemoryMB     int64 = 1 << 30 // a petabyte
 	MaxAccelerators int64 = 1 << 20
+	// MaxEstimateMS bounds the estimates of all steps of a job together, and a target: 90 days.
+	MaxEstimateMS int64 = 90 * 24 * 3600 * 1000
 	// MaxTimeMS bounds times of day in Unix milliseconds, and workers' clocks: the year 2100.
 	MaxTimeMS int64 = 4_102_444_800_000
+	// MaxPriority bounds the numbers of priorities.
+	MaxPriority = 1000
+	// MaxStretch bounds the stretch of a queue.
+	MaxStretch = 100.0
 	// MaxNameBytes bounds IDs and names that other writers choose.
 	MaxNameBytes = 128
 )
@@ -22,6 +29,14 @@
 	return inRange(r.MilliCores, MaxMilliCores) && inRange(r.MemoryMB, MaxMemoryMB) && inRange(r.Accelerators, MaxAccelerators)
 }
 
+// limitedNeed returns the need of a task with numbers above every capacity moved to just above.
+func (r Resources) limitedNeed() Resources {
+	return Resources{min(r.MilliCores, MaxMilliCores+1), min(r.MemoryMB, MaxMemoryMB+1), min(r.Accelerators, MaxAccelerators+1)}
+}
+
+// clamp returns the nearest number between two bounds.
+func clamp[T cmp.Ordered](number, lowest, highest T) T { return min(max(number, lowest), highest) }
+
 // inRange reports whether a number is between 0 and a bound.
 func inRange(number, bound int64) bool { return number >= 0 && number <= bound }
 
--- a/jobs/invalid_records_test.go
+++ b/jobs/invalid_records_test.go
@@ -20,6 +20,10 @@
 		{"too many tasks", "s/a1", `{"id":"a1","o":1000000,"t":[{"n":1000000}]}`},
 		{"negative occurrences", "s/a1", `{"id":"a1","o":-1,"t":[{"n":1}]}`},
 		{"another job's", "s/a1", `{"id":"b2","t":[{"n":1}]}`},
+		{"an ID that no task's name can hold", "s/a.1", `{"id":"a.1","t":[{"n":1}]}`},
+		{"an empty ID", "s/", `{"id":"","t":[{"n":1}]}`},
+		{"an ID of control characters", "s/a\n", `{"id":"a\n","t":[{"n":1}]}`},
+		{"a need above 2^63", "s/a1", `{"id":"a1","t":[{"n":1,"r":{"a":9223372036854775808}}]}`},
 		{"a state that is not named", "e/a1", "z"},
 		{"progress in no state", "p/a1", `z{}`},
 		{"a term of another type", "term", `"x"`},
@@ -45,6 +49,7 @@
 // No value under any key makes the fold panic or accept too many tasks.
 func FuzzApply(f *testing.F) {
 	f.Add("s/a1", []byte(`{"id":"a1","t":[{"n":2,"d":[]}]}`))
+	f.Add("s/a1", []byte(`{"id":"a1","q":{"p":9223372036854775807,"x":1e300,"l":-9223372036854775808},"f":-9223372036854775808,"p":9223372036854775807,"t":[{"n":2,"e":9223372036854775807,"r":{"a":9223372036854775807}}]}`))
 	f.Add("p/a1", []byte(`r{"d":"01","t":[[0,1,0,0,"w",""]]}`))
 	f.Add("e/a1", []byte("d"))
 	f.Add("term", []byte(`{"e":3,"h":"a/1"}`))
@@ -58,6 +63,16 @@
 			if job.Submission.OccurrenceCount()*job.Submission.TasksPerOccurrence() > MaxTasksPerJob {
 				t.Error("a submission with too many tasks was accepted")
 			}
+			estimateMS := int64(0)
+			for _, step := range job.Submission.Steps {
+				estimateMS += step.EstimateMS
+				if step.Need.MilliCores > MaxMilliCores+1 || step.Need.MemoryMB > MaxMemoryMB+1 || step.Need.Accelerators > MaxAccelerators+1 {
+					t.Error("a need far above every capacity was accepted")
+				}
+			}
+			if estimateMS < 0 || estimateMS > MaxEstimateMS || job.Submission.Queue.Priority > MaxPriority {
+				t.Error("numbers out of bounds were accepted")
+			}
 		}
 	})
 }
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
@@ -94,7 +95,7 @@
 // validate returns an error if the record is not a valid submission of the job, since
 // other writers may append to the same stream.
 func (s *Submission) validate(id string) error {
-	if s.ID != id {
+	if s.ID != id || !ValidName(id) || strings.Contains(id, ".") {
 		return eris.Errorf("submission of %q under %q", s.ID, id)
 	}
 	if len(s.Steps) == 0 || s.Occurrences < 0 || s.Occurrences > MaxTasksPerJob {
@@ -122,6 +123,29 @@
 	return s.Tasks >= 1 && s.Tasks <= MaxTasksPerJob && s.Need.MilliCores >= 0 && s.Need.MemoryMB >= 0 && s.Need.Accelerators >= 0
 }
 
+// limit moves numbers that are out of bounds to their bounds. Callers may state any number, so a
+// job that was accepted is not refused for them.
+func (s *Submission) limit() {
+	s.Queue = s.Queue.Limited()
+	s.FirstAtMS = clamp(s.FirstAtMS, -MaxTimeMS, MaxTimeMS)
+	s.PeriodMS = clamp(s.PeriodMS, 0, MaxTimeMS)
+	estimateMS := int64(0)
+	for index := range s.Steps {
+		step := &s.Steps[index]
+		step.Need = step.Need.limitedNeed()
+		step.EstimateMS = clamp(step.EstimateMS, 0, MaxEstimateMS-estimateMS)
+		estimateMS += step.EstimateMS
+	}
+}
+
+// Limited returns the queue with numbers that are out of bounds moved to their bounds.
+func (q Queue) Limited() Queue {
+	q.Priority = min(q.Priority, MaxPriority)
+	q.Stretch = clamp(q.Stretch, 0, MaxStretch)
+	q.TargetMS = clamp(q.TargetMS, 0, MaxEstimateMS)
+	return q
+}
+
 // TaskKey identifies a task.
 type TaskKey struct {
 	Job        string
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -245,6 +245,7 @@
 	if err := submission.validate(id); err != nil {
 		return Change{}, err
 	}
+	submission.limit()
 	job := t.ensureJob(id)
 	job.Submission = submission
 	job.Parts |= 1 << part
--- a/placing/job.go
+++ b/placing/job.go
@@ -128,7 +128,7 @@
 	submission := job.submission
 	occurrence := &occurrence{remainingTasks: submission.TasksPerOccurrence()}
 	if submission.Occurrences > 0 {
-		occurrence.scheduledMS = submission.FirstAtMS + int64(number)*submission.PeriodMS
+		occurrence.scheduledMS = min(jobs.MaxTimeMS, submission.FirstAtMS+int64(number)*submission.PeriodMS)
 	}
 	for stepIndex := range submission.Steps {
 		spec := &submission.Steps[stepIndex]
