Refuse terms, instances and statements with numbers that overflow

Callers saw: a term on record with epoch 2^63-1 and no instance can claim a later one: nothing is started for good. Former leases whose time overflows are over at once, so that a run on record may be started again while it goes on. An instance with 1e300 cores has a shard size that differs between amd64 and arm64.

Cause: the epoch plus one, milliseconds as a duration and a float as an integer overflow.

What callers saw is by reading the code; no play with such a record was run.

--- a/jobs/bounds.go
+++ b/jobs/bounds.go
@@ -20,6 +20,16 @@
 	MaxPriority = 1000
 	// MaxStretch bounds the stretch of a queue.
 	MaxStretch = 100.0
+	// MaxLeaseMS bounds what is left of leases: a day.
+	MaxLeaseMS int64 = 24 * 3600 * 1000
+	// MaxRun bounds the numbers of runs.
+	MaxRun = 1 << 31
+	// MaxCPUShare bounds the cores of an instance's machine.
+	MaxCPUShare = 1024.0
+	// MaxEpoch bounds the numbers of terms.
+	MaxEpoch int64 = 1 << 53
+	// MaxCheckpointBytes bounds a checkpoint, as all of a job's go into one record.
+	MaxCheckpointBytes = 512
 	// MaxNameBytes bounds IDs and names that other writers choose.
 	MaxNameBytes = 128
 )
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -196,6 +196,9 @@
 	if instance.Address == "" {
 		return eris.New("instance " + name + " has no address")
 	}
+	if instance.CPUShare < 0 || instance.CPUShare > MaxCPUShare {
+		return eris.Errorf("instance %s has %g cores", name, instance.CPUShare)
+	}
 	t.instances[name] = *instance
 	return nil
 }
@@ -208,8 +211,8 @@
 	if err != nil {
 		return Change{}, err
 	}
-	if term.Epoch < 1 {
-		return Change{}, eris.Errorf("invalid term epoch %d", term.Epoch)
+	if term.Epoch < 1 || term.Epoch > MaxEpoch || !inRange(term.FormerLeasesMS, MaxLeaseMS) {
+		return Change{}, eris.Errorf("term %d or its former leases of %d ms are out of range", term.Epoch, term.FormerLeasesMS)
 	}
 	if term.Epoch < t.term.Epoch {
 		return Change{}, nil
--- a/jobs/unreached.go
+++ b/jobs/unreached.go
@@ -53,8 +53,8 @@
 		return eris.Errorf("unreached workers of invalid epoch %d", u.Epoch)
 	}
 	for name, lead := range u.LeadMS {
-		if lead < 0 {
-			return eris.Errorf("leases on unreached worker %s expire %d ms too late", name, -lead)
+		if !inRange(lead, MaxTimeMS) {
+			return eris.Errorf("the lead of %d ms of unreached worker %s is out of range", lead, name)
 		}
 	}
 	return nil
