Read logs on after a line that is too long

Callers saw: explain ended with "token too long" for all logs where one line has over 1 MB. Reasons that quote what another writer left could make such a line.

Change: a line is cut to 1 MB, and the reading goes on.

Evidence: TestExplainReadsOnAfterALongLine failed before.

--- a/command/explain.go
+++ b/command/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -83,17 +84,22 @@
 	return lines, nil
 }
 
-// maxLineBytes is the maximum length of a log line.
+// maxLineBytes is how much of a log line is read.
 const maxLineBytes = 1 << 20
 
 // scanLog returns the lines of a log that contain id or are context events.
 func scanLog(reader io.Reader, source, id string) ([]logLine, error) {
-	scanner := bufio.NewScanner(reader)
-	scanner.Buffer(nil, maxLineBytes)
+	buffered := bufio.NewReaderSize(reader, maxLineBytes)
 	var lines []logLine
 	position := int64(0)
-	for scanner.Scan() {
-		text := scanner.Text()
+	for {
+		text, err := nextLine(buffered)
+		if errors.Is(err, io.EOF) {
+			return lines, nil
+		}
+		if err != nil {
+			return lines, eris.Wrap(err, "log "+source)
+		}
 		position = parsePosition(text, position)
 		namesID := strings.Contains(text, id)
 		if !namesID && !isContextEvent(text) {
@@ -103,7 +109,19 @@
 			lines = append(lines, logLine{at: at, logPosition: position, source: source, text: text, namesID: namesID})
 		}
 	}
-	return lines, eris.Wrap(scanner.Err(), "log "+source)
+}
+
+// nextLine returns the next line, cut to maxLineBytes.
+func nextLine(reader *bufio.Reader) (string, error) {
+	line, more, err := reader.ReadLine()
+	text := string(line)
+	for more && err == nil {
+		_, more, err = reader.ReadLine()
+	}
+	if text != "" {
+		return text, nil
+	}
+	return text, err
 }
 
 func isContextEvent(text string) bool {
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -37,6 +37,17 @@
 	is.Equal(Main([]string{"explain", "ffffffffffffffff", dir}, &out, &errs), ExitFailed)
 }
 
+// One line that is too long hid the logs of all processes.
+func TestExplainReadsOnAfterALongLine(t *testing.T) {
+	is := is.New(t)
+	const first, last = `time="2026-12-02T10:00:00.100Z" level=info msg=submit job=00000000000000a1`, `time="2026-12-02T10:00:03.000Z" level=info msg=job_ended job=00000000000000a1`
+	lines, err := scanLog(strings.NewReader(first+"\n"+strings.Repeat("x", 3*maxLineBytes)+"\n\n"+last), "one.log", "00000000000000a1")
+	is.NoErr(err)
+	is.Equal(len(lines), 2)
+	is.Equal(lines[0].text, first)
+	is.Equal(lines[1].text, last)
+}
+
 // The clock of the second process is five seconds slow. Checks that its line about an end
 // that it read in the log is printed after the line of the process that wrote the end.
 func TestExplainOrdersByLogPositionWhenClocksDiffer(t *testing.T) {
