Do not take progress on record whose numbers wrap

Callers saw: progress that names run 2^63-1 gives the next run of the task a negative number, which workers refuse. An end at a time that overflows makes the record of an ended job go at once, or never.

Change: counts out of range make progress unreadable, as other invalid progress; times are moved into range.

Evidence: TestProgressWithNumbersThatWrapIsNotTaken failed before. What callers saw is by reading the code; only the leader writes such records, so another writer has to.

--- a/jobs/invalid_records_test.go
+++ b/jobs/invalid_records_test.go
@@ -52,6 +52,19 @@
 	}
 }
 
+// A run number or a time that wraps was taken from progress on record.
+func TestProgressWithNumbersThatWrapIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	for _, task := range []string{`[0,9223372036854775807,0,0,"w",""]`, `[0,1,-1,0,"w",""]`, `[0,1,0,0,"w","",4611686018427387904,0]`, `null`} {
+		_, err := DecodeProgress([]byte(`r{"t":[` + task + `]}`))
+		is.True(err != nil)
+	}
+	progress, err := DecodeProgress([]byte(`d{"e":9223372036854775807,"u":-9223372036854775808}`))
+	is.NoErr(err)
+	is.Equal(progress.EndedMS, MaxTimeMS)
+	is.Equal(progress.ReadyMS, int64(0))
+}
+
 // No value under any key makes the fold panic or accept too many tasks.
 func FuzzApply(f *testing.F) {
 	f.Add("s/a1", []byte(`{"id":"a1","t":[{"n":2,"d":[]}]}`))
--- a/jobs/progress.go
+++ b/jobs/progress.go
@@ -44,6 +44,11 @@
 	if len(list) != len(fields) && len(list) != fieldsWithoutLosses {
 		return eris.New("progress of a task has a wrong number of fields")
 	}
+	for _, count := range [...]int{t.Run, t.Failed, t.Judged, t.Losses, t.EarlyLosses} {
+		if !inRange(int64(count), MaxRun) {
+			return eris.Errorf("progress of a task has the count %d", count)
+		}
+	}
 	return nil
 }
 
@@ -166,5 +171,7 @@
 		return nil, eris.Wrap(err, "decode progress")
 	}
 	record.restoreBorn()
+	record.EndedMS = clamp(record.EndedMS, 0, MaxTimeMS)
+	record.ReadyMS = clamp(record.ReadyMS, 0, MaxTimeMS)
 	return record.Progress, nil
 }
