--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -36,6 +36,19 @@
 	}
 }
 
+func TestOnlyTheUncappedIssueExceedsTheCap(t *testing.T) {
+	is := is.New(t)
+	capped := []string{goodLine, "./b TestOne | c | s | issue 1", "./c TestOne | c | s | issue 6"}
+	uncapped := []string{"./d TestOne | c | s | issue 61", "./e TestOne | c | s | issue 61"}
+	list, err := parseList(strings.Join(append(capped, uncapped...), "\n"))
+	is.NoErr(err)
+	is.Equal(len(list), 5)
+	_, err = parseList(strings.Join(append(capped, "./d TestOne | c | s | issue 61", "./e TestOne | c | s | issue 610"), "\n"))
+	is.True(err != nil) // another issue's fourth entry
+	_, err = parseList(uncapped[0] + "\n" + uncapped[0])
+	is.True(err != nil) // listed twice
+}
+
 // fakeModule is a fake of the go command on a module with the given tests.
 type fakeModule struct {
 	tests map[string]map[string]bool // whether each test passes, by package
--- a/internal/knownred/list.go
+++ b/internal/knownred/list.go
@@ -11,6 +11,8 @@
 	// maxEntries bounds the list: with more than three known faults, fixing them
 	// takes precedence over any other work.
 	maxEntries = 3
+	// uncappedIssue is the issue whose entries do not count against maxEntries.
+	uncappedIssue = "issue 61"
 	// fieldSeparator separates the fields of a line.
 	fieldSeparator = " | "
 )
@@ -48,12 +50,23 @@
 		seen[e.pkg+" "+e.test] = true
 		list = append(list, e)
 	}
-	if len(list) > maxEntries {
-		return nil, eris.Errorf("%d tests are listed, %d are allowed", len(list), maxEntries)
+	if counted := countCapped(list); counted > maxEntries {
+		return nil, eris.Errorf("%d tests are listed, %d are allowed", counted, maxEntries)
 	}
 	return list, nil
 }
 
+// countCapped returns the number of entries that count against maxEntries.
+func countCapped(list []entry) int {
+	counted := 0
+	for _, e := range list {
+		if e.issue != uncappedIssue {
+			counted++
+		}
+	}
+	return counted
+}
+
 func parseEntry(line string) (entry, error) {
 	fields := strings.Split(line, fieldSeparator)
 	if len(fields) != 4 {
