--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -36,6 +36,7 @@
 	useProxies       bool                     // every connection to workers, the store and instances passes a proxy
 	checker          *standin.TaskChecker     // checks that no task runs twice or in an evacuated zone; nil for none
 	gangs            *standin.GangCoordinator // lets the tasks of a gang start and end together
+	limits           string                   // replaces memory_mb in the limits of the settings; empty for fleetSettings as it is
 	earlierBinary    string                   // binary of an earlier version that every second instance runs; empty for none
 	startCount       int                      // instances started so far
 	machines         []*machine
@@ -183,6 +184,9 @@
 		f.store.TranslateAddress(fmt.Sprintf("127.0.0.1:%d", peerPort), instance.peerProxy.Address())
 	}
 	content := fmt.Sprintf(fleetSettings, name, zoneOf(name), peerPort, peerPort, frontAddr, instance.readyAddr, storeAddr)
+	if f.limits != "" {
+		content = strings.Replace(content, `"memory_mb":284`, f.limits, 1)
+	}
 	if err := os.WriteFile(settingsPath, []byte(content), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
