Bound what callers' connections hold, as a sum

What callers saw: a process ended as it ran out of memory, beside clients that sent large bodies and stopped before the end. Cause: each body is bounded, their sum is not; nor are headers in progress, large answers that nobody reads, and open connections, and on the product's own interface no read of a body and no write of an answer ends.

Change: package ingress, used by the servers of both interfaces, charges headers, bodies and large answers to a budget worked out from the memory in the settings, and bounds connections below max_fds (now read). When a bound is reached, the request that has occupied the most memory for the longest time and has not arrived completely is ended (503, nothing was parsed). A quarter of the budget is for small requests. Deadlines for bodies and for each part of an answer, receive buffers of 64 KB, headers of 32 KB. Settings of the product's own interface: memory_mb, max_fds, body_within, answer_within, idle_within. Metrics ingress.*, log line requests_limited. A request with a key gets the outcome unknown: an earlier one may have run.

Failed try: unit tests with room for two bodies of the largest size ended the only body, as a buffer that grows needs one and a half times its size; hence at least four bodies.

--- a/adapters/fronthttp/fronthttp.go
+++ b/adapters/fronthttp/fronthttp.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/teaselcleat/teaselcleat/ingress"
 	"github.com/teaselcleat/teaselcleat/ledger"
 	"github.com/teaselcleat/teaselcleat/requests"
 	"github.com/teaselcleat/teaselcleat/service"
@@ -150,9 +150,15 @@
 // readBody reads a body up to the limit and requires UTF-8. If it returns false, it has
 // answered the request.
 func (h *apiHandler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.service.MaxBodyBytes()))
+	body, err := ingress.ReadBody(w, r, h.service.MaxBodyBytes())
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, ingress.ErrNoMemory):
+		refuseOverloaded(w, r)
+		return nil, false
+	case errors.Is(err, ingress.ErrBodyTimeout):
+		refuse(w, structs.ReasonBadRequest, err.Error())
+		return nil, false
 	case errors.As(err, &tooLarge):
 		refuse(w, structs.ReasonTooLarge, "body is over the limit of "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 		return nil, false
@@ -166,6 +172,20 @@
 	return body, true
 }
 
+// overloadRetryAfter is returned to callers whose body found no memory.
+const overloadRetryAfter = time.Second
+
+// refuseOverloaded replies to a request whose body found no memory. An earlier request with the
+// same key may have run.
+func refuseOverloaded(w http.ResponseWriter, r *http.Request) {
+	outcome := structs.OutcomeNotRun
+	if r.Header.Get(HeaderKey) != "" {
+		outcome = structs.OutcomeUnknown
+	}
+	writeReply(w, httpStatus(outcome, structs.ReasonOverloaded), ReplyBody{Outcome: outcome, Reason: structs.ReasonOverloaded,
+		RetryAfterSec: ceilSeconds(overloadRetryAfter)})
+}
+
 // readJSON decodes a body strictly. If it returns false, it has answered the request.
 func (h *apiHandler) readJSON(w http.ResponseWriter, r *http.Request, target any) bool {
 	body, ok := h.readBody(w, r)
--- a/command/front.go
+++ b/command/front.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/teaselcleat/teaselcleat/batch"
+	"github.com/teaselcleat/teaselcleat/ingress"
 	"github.com/teaselcleat/teaselcleat/logsink"
 	"github.com/teaselcleat/teaselcleat/platform"
 	"github.com/teaselcleat/teaselcleat/relay"
@@ -36,12 +37,16 @@
 	// wait that is left for the answers to calls that were ended; see planShutdown.
 	shutdownReserve = 700 * time.Millisecond
 	answerReserve   = 200 * time.Millisecond
-	// readTimeout bounds the reading of a request with its body, idleTimeout an idle
-	// connection of a caller.
-	readTimeout = 5 * time.Second
-	idleTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 32 << 10
 )
 
+// callTimeouts are those of a caller's connection.
+var callTimeouts = ingress.Timeouts{Header: 5 * time.Second, Body: 5 * time.Second, Answer: 5 * time.Second, Idle: 30 * time.Second}
+
+// probeLimits bound the connections for readiness, and those for the metrics.
+var probeLimits = ingress.Limits{Connections: 64, Bytes: 1 << 20}
+
 // runFront implements the subcommand front: it runs an instance on the users' platform,
 // configured by the platform's settings file (platform.Settings). The settings file that
 // package settings reads is for the subcommand serve.
@@ -112,9 +117,11 @@
 	store     *platform.Store
 	workers   *platform.Workers
 	instance  *batch.Instance
-	front     *http.Server
-	ready     *http.Server
-	metrics   *http.Server       // nil if metrics have no port of their own
+	gate      *ingress.Gate // of the callers' connections
+	front     *boundedServer
+	ready     *boundedServer
+	metrics   *boundedServer     // nil if metrics have no port of their own
+	stopGate  context.CancelFunc // stops the reports of gate
 	stopRelay context.CancelFunc // nil while no calls of other instances are served
 	endCalls  context.CancelFunc // ends the contexts of all calls, which are then answered at once
 }
@@ -133,17 +140,35 @@
 		store:    store,
 		workers:  workers,
 		instance: instance,
-		front:    &http.Server{Addr: loaded.FrontAddress, Handler: platform.FrontHandler(instance), ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
-		ready:    &http.Server{Addr: loaded.ReadyAddress, Handler: platform.ReadyHandler(instance, registry), ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
+		gate:     ingress.NewGate("front", callerLimits(loaded), registry),
 	}
+	process.front = newBoundedServer(process.gate, loaded.FrontAddress, platform.FrontHandler(instance))
+	process.ready = newBoundedServer(ingress.NewGate("ready", probeLimits, registry), loaded.ReadyAddress, platform.ReadyHandler(instance, registry))
 	process.front.BaseContext = func(net.Listener) context.Context { return callsContext }
 	if metricsPort > 0 {
 		address := net.JoinHostPort(loaded.IP, strconv.Itoa(metricsPort))
-		process.metrics = &http.Server{Addr: address, Handler: platform.MetricsHandler(registry), ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
+		process.metrics = newBoundedServer(ingress.NewGate("metrics", probeLimits, registry), address, platform.MetricsHandler(registry))
 	}
 	return process
 }
 
+// callerLimits returns the limits of callers' connections.
+func callerLimits(loaded *platform.Settings) ingress.Limits {
+	return ingress.LimitsFor(loaded.MemoryMB<<20, int(loaded.MaxFDs), platform.DefaultMaxBodyBytes)
+}
+
+// boundedServer is an HTTP server with the gate of its connections.
+type boundedServer struct {
+	*http.Server
+	gate *ingress.Gate
+}
+
+func newBoundedServer(gate *ingress.Gate, address string, handler http.Handler) *boundedServer {
+	server := gate.NewServer(handler, callTimeouts, maxHeaderBytes)
+	server.Addr = address
+	return &boundedServer{Server: server, gate: gate}
+}
+
 // logPositionField is the log field with the position up to which the instance has read
 // the platform's log.
 const logPositionField = "log_at"
@@ -163,7 +188,7 @@
 }
 
 func (p *frontProcess) start() error {
-	for _, server := range []*http.Server{p.front, p.ready} {
+	for _, server := range []*boundedServer{p.front, p.ready} {
 		listener, err := listen(server.Addr)
 		if err != nil {
 			return err
@@ -171,6 +196,9 @@
 		go p.serve(server, listener)
 	}
 	p.serveMetrics()
+	reports, stopReports := context.WithCancel(context.Background())
+	p.stopGate = stopReports
+	go p.gate.Report(reports, p.log)
 	// The field terms holds the parts of the platform's contract that are in force.
 	p.log.WithField("terms", strings.Join(p.settings.Contracts, ",")).Info("settings_read")
 	p.logUnsupportedDuties()
@@ -186,8 +214,8 @@
 	}
 }
 
-func (p *frontProcess) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != http.ErrServerClosed {
+func (p *frontProcess) serve(server *boundedServer, listener net.Listener) {
+	if err := server.Serve(server.gate.Listen(listener)); err != http.ErrServerClosed {
 		p.log.WithField("error", err.Error()).Error("server_ended")
 	}
 }
@@ -244,13 +272,14 @@
 	p.instance.Drain()
 	times := planShutdown(p.settings.GracePeriod)
 	time.Sleep(times.accept)
-	if err := finishCalls(p.front, p.endCalls, times); err != nil {
+	if err := finishCalls(p.front.Server, p.endCalls, times); err != nil {
 		p.log.WithField("error", err.Error()).Warn("calls_cut")
 	}
 	if p.stopRelay != nil {
 		p.stopRelay()
 	}
 	p.instance.Stop()
+	p.stopGate()
 	p.ready.Close()
 	if p.metrics != nil {
 		p.metrics.Close()
--- a/command/reload.go
+++ b/command/reload.go
@@ -58,6 +58,7 @@
 		p.store.SetAddress(p.settings.StoreAddress)
 		p.workers.SetAdviceAddress(p.settings.AdviceAddress)
 		setMemoryLimit(p.settings.MemoryMB)
+		p.gate.SetLimits(callerLimits(p.settings))
 		p.logUnsupportedDuties()
 	}
 	if len(adopted)+len(needRestart) > 0 {
--- a/command/serve.go
+++ b/command/serve.go
@@ -87,6 +87,7 @@
 	if code != ExitOK {
 		return code
 	}
+	setMemoryLimit(loaded.MemoryMB)
 	inst, err := instance.New(loaded, newLog(to, *verbose))
 	if err != nil {
 		return fail(to, "serve", err)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,6 +18,7 @@
 
 	"github.com/teaselcleat/teaselcleat/adapters/fronthttp"
 	"github.com/teaselcleat/teaselcleat/hlc"
+	"github.com/teaselcleat/teaselcleat/ingress"
 	"github.com/teaselcleat/teaselcleat/kernel"
 	"github.com/teaselcleat/teaselcleat/logstream"
 	"github.com/teaselcleat/teaselcleat/membership"
@@ -68,6 +69,7 @@
 	kernel       *kernel.Kernel
 	httpListener net.Listener
 	peerListener net.Listener
+	gate         *ingress.Gate // of callers' connections
 	server       *http.Server
 }
 
@@ -139,10 +141,28 @@
 	i.listPoller = newListPoller(i)
 	i.placer = newPlacer(i)
 	i.replica.Observe(i)
-	i.server = &http.Server{Handler: fronthttp.Handler(i, i.registry), ReadHeaderTimeout: 10 * time.Second}
+	i.buildServer()
 	i.addDuties()
 }
 
+// headerTimeout and maxHeaderBytes bound the header of a request.
+const (
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 32 << 10
+)
+
+func (i *Instance) buildServer() {
+	limits := ingress.LimitsFor(i.settings.MemoryMB<<20, i.settings.MaxFDs, i.settings.MaxBodyBytes)
+	i.gate = ingress.NewGate("front", limits, i.registry)
+	timeouts := ingress.Timeouts{
+		Header: headerTimeout,
+		Body:   i.settings.BodyTimeout,
+		Answer: i.settings.AnswerTimeout,
+		Idle:   i.settings.IdleTimeout,
+	}
+	i.server = i.gate.NewServer(fronthttp.Handler(i, i.registry), timeouts, maxHeaderBytes)
+}
+
 func (i *Instance) addDuties() {
 	i.kernel.AddDuty("peer_listener", func(ctx context.Context) { i.link.Serve(ctx, i.peerListener) })
 	i.kernel.AddDuty("roster", i.listPoller.run)
@@ -152,6 +172,7 @@
 	i.kernel.AddDuty("dispatcher", i.slots.run)
 	i.kernel.AddDuty("bridge", i.peerSync.run)
 	i.kernel.AddDuty("placer", i.placer.run)
+	i.kernel.AddDuty("ingress", func(ctx context.Context) { i.gate.Report(ctx, i.log) })
 	i.kernel.AddDuty("keeper", newMaintainer(i).run)
 	i.kernel.AddDrainer("requests", i.drainRequests)
 	i.kernel.AddDrainer("placer", i.placer.drain)
@@ -163,7 +184,7 @@
 func (i *Instance) Start() {
 	i.kernel.Start()
 	go func() {
-		if err := i.server.Serve(i.httpListener); err != nil && !eris.Is(err, http.ErrServerClosed) {
+		if err := i.server.Serve(i.gate.Listen(i.httpListener)); err != nil && !eris.Is(err, http.ErrServerClosed) {
 			i.log.WithField("error", err.Error()).Error("http_server_ended")
 		}
 	}()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,8 @@
 	MaxInFlight       int           // requests in flight
 	MaxBodyBytes      int64         // of a request
 	MaxAnswerBytes    int64         // of a runner's answer
+	MemoryMB          int64         // memory of the process; callers' connections and requests have a share of it
+	MaxFDs            int           // descriptors of the process; callers' connections have a share of them
 	PendingRecords    int           // records buffered while the log is unavailable
 	MaxTimelineEvents int           // events kept in the timeline
 	ClaimTimeout      time.Duration // maximum wait until a claim is read back from the log
@@ -37,6 +39,9 @@
 	TermTimeout       time.Duration // silence after which the leader is replaced
 	ReclaimTimeout    time.Duration // maximum time for a checkpoint when capacity is reclaimed
 	DrainTimeout      time.Duration // maximum time for a graceful stop
+	BodyTimeout       time.Duration // maximum time for the body of a request to arrive, after its header
+	AnswerTimeout     time.Duration // maximum time for a caller to take a part of an answer
+	IdleTimeout       time.Duration // of a caller's connection between two requests
 	SnapshotInterval  time.Duration // interval between snapshots in the log
 	KeyRetention      time.Duration // retention of request keys
 }
@@ -113,7 +118,8 @@
 const allowedAddress = "IP:PORT"
 
 // fields lists every known key. The keys claim_wait, reclaim_within, drain_within,
-// snapshot_every and key_window set fields that have other names.
+// body_within, answer_within, idle_within, snapshot_every and key_window set fields that have
+// other names.
 var fields = []field{
 	{"instance", "name", "", allowedName, nameSetter(func(s *Settings) *string { return &s.Name })},
 	{"instance", "region", "", allowedName, nameSetter(func(s *Settings) *string { return &s.Region })},
@@ -125,6 +131,8 @@
 	{"limits", "in_flight", "1024", "1 to 100000", countSetter(func(s *Settings, n int64) { s.MaxInFlight = int(n) }, 1, 100000)},
 	{"limits", "body_bytes", "1048576", "1 to 67108864", countSetter(func(s *Settings, n int64) { s.MaxBodyBytes = n }, 1, 64<<20)},
 	{"limits", "answer_bytes", "4194304", "1 to 67108864", countSetter(func(s *Settings, n int64) { s.MaxAnswerBytes = n }, 1, 64<<20)},
+	{"limits", "memory_mb", "144", "16 to 1048576", countSetter(func(s *Settings, n int64) { s.MemoryMB = n }, 16, 1<<20)},
+	{"limits", "max_fds", "3075", "256 to 1048576", countSetter(func(s *Settings, n int64) { s.MaxFDs = int(n) }, 256, 1<<20)},
 	{"limits", "pending_records", "20000", "100 to 1000000", countSetter(func(s *Settings, n int64) { s.PendingRecords = int(n) }, 100, 1000000)},
 	{"limits", "timeline_events", "20000", "100 to 1000000", countSetter(func(s *Settings, n int64) { s.MaxTimelineEvents = int(n) }, 100, 1000000)},
 	{"timing", "claim_wait", "2s", "50ms to 1m", durationSetter(func(s *Settings) *time.Duration { return &s.ClaimTimeout }, 50*time.Millisecond, time.Minute)},
@@ -132,6 +140,9 @@
 	{"timing", "term_timeout", "3s", "200ms to 1m", durationSetter(func(s *Settings) *time.Duration { return &s.TermTimeout }, 200*time.Millisecond, time.Minute)},
 	{"timing", "reclaim_within", "30s", "100ms to 10m", durationSetter(func(s *Settings) *time.Duration { return &s.ReclaimTimeout }, 100*time.Millisecond, 10*time.Minute)},
 	{"timing", "drain_within", "5m", "1s to 1h", durationSetter(func(s *Settings) *time.Duration { return &s.DrainTimeout }, time.Second, time.Hour)},
+	{"timing", "body_within", "30s", "1s to 10m", durationSetter(func(s *Settings) *time.Duration { return &s.BodyTimeout }, time.Second, 10*time.Minute)},
+	{"timing", "answer_within", "30s", "1s to 10m", durationSetter(func(s *Settings) *time.Duration { return &s.AnswerTimeout }, time.Second, 10*time.Minute)},
+	{"timing", "idle_within", "2m", "1s to 1h", durationSetter(func(s *Settings) *time.Duration { return &s.IdleTimeout }, time.Second, time.Hour)},
 	{"timing", "snapshot_every", "1m", "100ms to 1h", durationSetter(func(s *Settings) *time.Duration { return &s.SnapshotInterval }, 100*time.Millisecond, time.Hour)},
 	{"timing", "key_window", "24h", "1m to 744h", durationSetter(func(s *Settings) *time.Duration { return &s.KeyRetention }, time.Minute, 744*time.Hour)},
 }
--- a/structs/outcome.go
+++ b/structs/outcome.go
@@ -38,6 +38,7 @@
 	ReasonNotReady             Reason = "not_ready"
 	ReasonDraining             Reason = "draining"
 	ReasonQueueFull            Reason = "queue_full"
+	ReasonOverloaded           Reason = "overloaded"
 	ReasonCannotMeetTarget     Reason = "cannot_meet_target"
 	ReasonNoUpstream           Reason = "no_upstream"
 	ReasonUpstreamRefused      Reason = "upstream_refused"
