--- a/e2e/unfinished_bodies_test.go
+++ b/e2e/unfinished_bodies_test.go
@@ -121,3 +121,14 @@
 	})
 	f.checkServesBeside(used, crowdMemoryMB, crowdMaxFDs)
 }
+
+// Accepted jobs may keep as much as their bodies hold.
+func TestPlatformLongNamesExhaustMemory(t *testing.T) {
+	f := newLimitedFleet(t, crowdMemoryMB, crowdMaxFDs)
+	used := watchUsage(t, f.instances[0].cmd.Process.Pid)
+	body := fmt.Sprintf(`{"spec":"s","steps":[{"count":1,"cpu":1000,"required_label":%q}]}`, strings.Repeat("a", platformBody-1<<12))
+	for number := range crowdSize {
+		f.call(f.instances[0], http.MethodPost, fmt.Sprintf("%016x", 0xc000+number), "key-a", body)
+	}
+	f.checkServesBeside(used, crowdMemoryMB, crowdMaxFDs)
+}
