ingress: set deadlines without the lock of the gate

Each request took the lock some fifteen times and set its write deadline three times. The marks of ended connections are atomic now, gauges are read when asked for, and a write deadline is moved only when an eighth of it has passed.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -49,7 +49,7 @@
 	switch {
 	case errors.As(err, &tooLarge) || c == nil:
 		return err
-	case c.isEnded():
+	case c.ended.Load():
 		return ErrNoMemory
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.gate.metrics.timeouts.Inc(1)
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,13 +16,13 @@
 type conn struct {
 	net.Conn
 	gate *Gate
+	// ended means that nothing more is read, broken that nothing more is written either.
+	ended, broken atomic.Bool
 
 	// The fields below are guarded by gate.mu.
 	phase phase
 	since time.Time // start of the phase; of receiving, the start of the request
 	held  int64     // bytes
-	// ended means that nothing more is read, broken that nothing more is written either.
-	ended, broken bool
 }
 
 // limitReceiveBuffer bounds the receive buffer of a TCP connection.
@@ -44,7 +45,7 @@
 func (c *conn) receive(bytes int64) bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	if c.ended {
+	if c.ended.Load() {
 		return false
 	}
 	if c.phase == idle {
@@ -55,29 +56,27 @@
 
 // SetReadDeadline sets the deadline of reads, unless the connection is to end.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	if c.ended {
-		deadline = past
+	err := c.Conn.SetReadDeadline(deadline)
+	if c.ended.Load() {
+		return c.Conn.SetReadDeadline(past)
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	return err
 }
 
 // SetWriteDeadline sets the deadline of writes, unless the connection is to end at once.
 func (c *conn) SetWriteDeadline(deadline time.Time) error {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	if c.broken {
-		deadline = past
+	err := c.Conn.SetWriteDeadline(deadline)
+	if c.broken.Load() {
+		return c.Conn.SetWriteDeadline(past)
 	}
-	return c.Conn.SetWriteDeadline(deadline)
+	return err
 }
 
 // begin begins a phase, unless the connection is to end.
 func (c *conn) begin(next phase) {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	if !c.ended {
+	if !c.ended.Load() {
 		c.enter(next)
 	}
 }
@@ -86,10 +85,9 @@
 func (c *conn) settle(held int64) {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	if !c.ended {
+	if !c.ended.Load() {
 		c.gate.held += held - c.held
 		c.held = held
-		c.gate.publish()
 	}
 }
 
@@ -104,20 +102,12 @@
 func (c *conn) release(bytes int64) {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	if !c.ended {
+	if !c.ended.Load() {
 		c.held -= bytes
 		c.gate.held -= bytes
-		c.gate.publish()
 	}
 }
 
-// isEnded reports whether the connection was ended for others.
-func (c *conn) isEnded() bool {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	return c.ended
-}
-
 // enter begins a phase; the caller holds gate.mu.
 func (c *conn) enter(next phase) {
 	c.phase = next
@@ -156,6 +146,5 @@
 		c.gate.held -= c.held
 		c.held = 0
 		c.enter(idle)
-		c.gate.publish()
 	}
 }
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -35,30 +35,42 @@
 	held   int64 // sum over conns
 }
 
-// gateMetrics shows the state of a gate and counts what it ends.
+// gateMetrics counts what a gate ends.
 type gateMetrics struct {
-	connections metrics.Gauge   // open now
-	heldBytes   metrics.Gauge   // held now
-	ended       metrics.Counter // requests and answers ended for others
-	refused     metrics.Counter // requests for which there was no memory
-	closed      metrics.Counter // connections closed for others
-	timeouts    metrics.Counter // bodies that did not arrive in time
+	ended    metrics.Counter // requests and answers ended for others
+	refused  metrics.Counter // requests for which there was no memory
+	closed   metrics.Counter // connections closed for others
+	timeouts metrics.Counter // bodies that did not arrive in time
 }
 
 func newGateMetrics(prefix string, registry metrics.Registry) gateMetrics {
 	return gateMetrics{
-		connections: metrics.GetOrRegisterGauge(prefix+"connections", registry),
-		heldBytes:   metrics.GetOrRegisterGauge(prefix+"held_bytes", registry),
-		ended:       metrics.GetOrRegisterCounter(prefix+"ended", registry),
-		refused:     metrics.GetOrRegisterCounter(prefix+"refused", registry),
-		closed:      metrics.GetOrRegisterCounter(prefix+"closed", registry),
-		timeouts:    metrics.GetOrRegisterCounter(prefix+"timeouts", registry),
+		ended:    metrics.GetOrRegisterCounter(prefix+"ended", registry),
+		refused:  metrics.GetOrRegisterCounter(prefix+"refused", registry),
+		closed:   metrics.GetOrRegisterCounter(prefix+"closed", registry),
+		timeouts: metrics.GetOrRegisterCounter(prefix+"timeouts", registry),
 	}
 }
 
 // NewGate returns a gate without connections. The name tells its metrics from those of others.
 func NewGate(name string, limits Limits, registry metrics.Registry) *Gate {
-	return &Gate{now: time.Now, metrics: newGateMetrics("ingress."+name+".", registry), limits: limits, conns: map[*conn]struct{}{}}
+	prefix := "ingress." + name + "."
+	g := &Gate{now: time.Now, metrics: newGateMetrics(prefix, registry), limits: limits, conns: map[*conn]struct{}{}}
+	registry.GetOrRegister(prefix+"connections", metrics.NewFunctionalGauge(func() int64 { return int64(g.connections()) }))
+	registry.GetOrRegister(prefix+"held_bytes", metrics.NewFunctionalGauge(g.heldBytes))
+	return g
+}
+
+func (g *Gate) connections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns)
+}
+
+func (g *Gate) heldBytes() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held
 }
 
 // SetLimits replaces the limits. Open connections and requests stay as they are.
@@ -139,7 +151,6 @@
 	}
 	c := &conn{Conn: accepted, gate: g, phase: readingHeader, since: g.now()}
 	g.conns[c] = struct{}{}
-	g.publish()
 	g.mu.Unlock()
 	if displaced != nil {
 		displaced.Conn.Close()
@@ -154,7 +165,7 @@
 	var found *conn
 	highest := 0.0
 	for c := range g.conns {
-		if c.ended || !slices.Contains(phases, c.phase) {
+		if c.ended.Load() || !slices.Contains(phases, c.phase) {
 			continue
 		}
 		if occupied := occupancy(base+c.held, now.Sub(c.since)); occupied > highest {
@@ -168,7 +179,7 @@
 // whether the bytes may be held. An answer that is about to be sent is in memory already, so it is
 // never refused. The caller holds mu.
 func (g *Gate) hold(c *conn, bytes int64) bool {
-	if c.ended {
+	if c.ended.Load() {
 		return false
 	}
 	c.held += bytes
@@ -189,21 +200,19 @@
 			return false
 		}
 	}
-	g.publish()
 	return true
 }
 
 // end stops a connection from reading, and from sending an answer that is being sent. What it holds
 // is released now, although its goroutine drops it only when it runs next.
 func (g *Gate) end(c *conn) {
-	c.ended = true
-	c.broken = c.phase == answering
+	c.ended.Store(true)
+	c.broken.Store(c.phase == answering)
 	g.held -= c.held
 	c.held = 0
-	g.publish()
 	// Errors mean that the connection is closed already.
 	_ = c.Conn.SetReadDeadline(past)
-	if c.broken {
+	if c.broken.Load() {
 		_ = c.Conn.SetWriteDeadline(past)
 	}
 }
@@ -219,11 +228,5 @@
 	delete(g.conns, c)
 	g.held -= c.held
 	c.held = 0
-	c.ended = true
-	g.publish()
-}
-
-func (g *Gate) publish() {
-	g.metrics.connections.Update(int64(len(g.conns)))
-	g.metrics.heldBytes.Update(g.held)
+	c.ended.Store(true)
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// extendShare divides the time for an answer: a deadline of which less has passed is left as it is.
+const extendShare = 8
+
 // limitedHandler sets the deadlines of each request and charges its header.
 type limitedHandler struct {
 	handler  http.Handler
@@ -45,8 +48,9 @@
 // answers that are being sent.
 type answerWriter struct {
 	http.ResponseWriter
-	conn    *conn
-	timeout time.Duration
+	conn     *conn
+	timeout  time.Duration
+	extended time.Time // when the deadline was last extended
 }
 
 // Unwrap returns the writer for http.ResponseController.
@@ -76,6 +80,11 @@
 
 // extendDeadline gives the caller the time of an answer from now.
 func (a *answerWriter) extendDeadline() {
+	now := time.Now()
+	if now.Sub(a.extended) < a.timeout/extendShare {
+		return
+	}
+	a.extended = now
 	// An error means that the connection is closed already.
-	_ = a.conn.SetWriteDeadline(time.Now().Add(a.timeout))
+	_ = a.conn.SetWriteDeadline(now.Add(a.timeout))
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -113,8 +113,8 @@
 	}
 }
 
-func (s *testServer) held() int64      { return s.gate.metrics.heldBytes.Value() }
-func (s *testServer) connections() int { return int(s.gate.metrics.connections.Value()) }
+func (s *testServer) held() int64      { return s.gate.heldBytes() }
+func (s *testServer) connections() int { return s.gate.connections() }
 
 func TestUnfinishedBodyMakesRoomForOthers(t *testing.T) {
 	is := is.New(t)
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -31,8 +31,8 @@
 			"refused":     counts[1] - reported[1],
 			"closed":      counts[2] - reported[2],
 			"timeouts":    counts[3] - reported[3],
-			"connections": m.connections.Value(),
-			"held_bytes":  m.heldBytes.Value(),
+			"connections": g.connections(),
+			"held_bytes":  g.heldBytes(),
 		}).Warn("requests_limited")
 		reported = counts
 	}
