--- a/peers/link.go
+++ b/peers/link.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
@@ -372,12 +373,12 @@
 	if size > maxEnvelopeBytes {
 		return nil, eris.Errorf("peer message of %d bytes is over the limit", size)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(reader, data); err != nil {
+	var data bytes.Buffer // grows with what arrives
+	if _, err := io.CopyN(&data, reader, int64(size)); err != nil {
 		return nil, eris.Wrap(err, "peer message body")
 	}
 	envelope := &peerpb.Envelope{}
-	if err := proto.Unmarshal(data, envelope); err != nil {
+	if err := proto.Unmarshal(data.Bytes(), envelope); err != nil {
 		return nil, eris.Wrap(err, "peer message decoding")
 	}
 	return envelope, nil
