--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -65,12 +65,21 @@
 func chunkedHead(head string) []byte { return []byte(head + "Transfer-Encoding: chunked\r\n\r\n") }
 
 func unfinishedChunks(body []byte, size int) []byte {
+	encoded := encodeChunks(body, size)
+	return encoded[:len(encoded)-len("\r\n")-1]
+}
+
+func finishedChunks(body []byte, size int) []byte {
+	return append(encodeChunks(body, size), "0\r\n\r\n"...)
+}
+
+func encodeChunks(body []byte, size int) []byte {
 	var encoded bytes.Buffer
 	for start := 0; start < len(body); start += size {
 		chunk := body[start:min(start+size, len(body))]
 		fmt.Fprintf(&encoded, "%x\r\n%s\r\n", len(chunk), chunk)
 	}
-	return encoded.Bytes()[:encoded.Len()-len("\r\n")-1]
+	return encoded.Bytes()
 }
 
 // send writes parts and reports whether the connection still takes data.
