Keep the limit per worker for tasks that the rack of their data leaves

Cause: searchDataRack places what fits in the rack of the data, and then the rest on all workers. The limit counts runs, and the placements of the first pass are none yet; the rack is the fullest by then, so it was preferred.

Change: the rest of a step with such a limit goes to other racks. The first pass has used what the rack offers.

--- a/placing/fit.go
+++ b/placing/fit.go
@@ -167,13 +167,28 @@
 	}
 	remaining := *unit
 	remaining.tasks = unit.tasks[len(placements):]
-	elsewhere := v.pack(&remaining, v.nodes)
+	nodes := v.nodes
+	if unit.step.spec.MaxPerWorker > 0 {
+		nodes = v.nodesOutside(unit.step.spec.DataRack) // the limit does not count these placements yet
+	}
+	elsewhere := v.pack(&remaining, nodes)
 	for _, p := range placements {
 		v.release(p.node, unit.step.need())
 	}
 	return append(placements, elsewhere...)
 }
 
+// nodesOutside returns the nodes of all other racks.
+func (v *view) nodesOutside(rack string) []*node {
+	var outside []*node
+	for _, node := range v.nodes {
+		if node.entry.Rack != rack {
+			outside = append(outside, node)
+		}
+	}
+	return outside
+}
+
 // searchRacks places a gang in the one rack where it leaves the least free; if it fits in
 // none and strict is false, anywhere.
 func (v *view) searchRacks(unit *unit, strict bool) []placement {
