--- a/batch/simrestart_test.go
+++ b/batch/simrestart_test.go
@@ -93,3 +93,25 @@
 	defer s.lock.Unlock()
 	return s.workers[name].startCount
 }
+
+// carryOutLate carries a hold for a former incarnation out, after lateBy.
+func (w *simWorker) carryOutLate(s *simWorkers, order HoldOrder) {
+	bornMS := w.bornMS
+	time.AfterFunc(w.lateBy, func() {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		if w.bornMS == bornMS && !w.down {
+			w.advance(s)
+			w.extendLease(order.LeaseUntilMS)
+			w.acknowledgeEnds(s, order.Ack)
+		}
+	})
+}
+
+// acknowledgeEnds drops the ends up to a number.
+func (w *simWorker) acknowledgeEnds(s *simWorkers, upTo int64) {
+	for len(w.ends) > 0 && w.ends[0].Number <= upTo {
+		w.acknowledgeEnd(s, w.ends[0])
+		w.ends = w.ends[1:]
+	}
+}
--- a/batch/simworkers_test.go
+++ b/batch/simworkers_test.go
@@ -217,28 +217,6 @@
 	w.ends = append(w.ends, placing.EndedTask{Number: w.lastEnd, Task: key.task, Run: key.run, Kind: how})
 }
 
-// carryOutLate carries a hold for a former incarnation out, after lateBy.
-func (w *simWorker) carryOutLate(s *simWorkers, order HoldOrder) {
-	bornMS := w.bornMS
-	time.AfterFunc(w.lateBy, func() {
-		s.lock.Lock()
-		defer s.lock.Unlock()
-		if w.bornMS == bornMS && !w.down {
-			w.advance(s)
-			w.extendLease(order.LeaseUntilMS)
-			w.acknowledgeEnds(s, order.Ack)
-		}
-	})
-}
-
-// acknowledgeEnds drops the ends up to a number.
-func (w *simWorker) acknowledgeEnds(s *simWorkers, upTo int64) {
-	for len(w.ends) > 0 && w.ends[0].Number <= upTo {
-		w.acknowledgeEnd(s, w.ends[0])
-		w.ends = w.ends[1:]
-	}
-}
-
 // acknowledgeEnd records that an end was acknowledged.
 func (w *simWorker) acknowledgeEnd(s *simWorkers, end placing.EndedTask) {
 	if end.Kind != placing.EndDone || !w.endedAt[end.Number].After(w.lapsedAt) {
