Do not take an expired lease that is reported again for a renewed one

What callers would have seen: tasks of lost workers that wait for ever, in deployments with delegates.

Cause: a delegate reports a lease that has expired as one that expires now, with each poll without an answer. The leader took every later time for a renewal, which a later incarnation might have been granted too, so the wait began anew.

Change: only a time that lies ahead counts as a renewal. A renewal has most of its lease left when its poll is given up.

TestTasksOfLostWorkersOfDelegateRunAgain passes.

--- a/batch/nextincarnation_test.go
+++ b/batch/nextincarnation_test.go
@@ -225,3 +225,26 @@
 		})
 	}
 }
+
+// Guards against tasks of lost workers that never run again: their delegate reports expired leases again and again.
+func TestTasksOfLostWorkersOfDelegateRunAgain(t *testing.T) {
+	for _, after := range []time.Duration{0, 1200 * time.Millisecond} {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			inFleet(t, manyWorkers, 1, time.Second, func(f *testFleet, is *is.I) {
+				f.keepListComplete()
+				time.Sleep(after)
+				var lost []string
+				for id := range f.workers.workersOf("keeper-0") {
+					if len(lost) < 40 {
+						lost = append(lost, id)
+						f.workers.setCut("*", id, true)
+					}
+				}
+				f.submit("a1", manyWorkers)
+				f.at(time.Now().Add(entryExpiry), func() { f.unlistWorkers(lost) })
+				time.Sleep(20 * time.Second)
+				is.Equal(f.doneTasks(), manyWorkers)
+			})
+		})
+	}
+}
--- a/placing/node.go
+++ b/placing/node.go
@@ -186,7 +186,8 @@
 	if n == nil {
 		return
 	}
-	renewed := n.answering || leasesExpireAt.After(n.leasesExpireAt.Add(leaseMargin))
+	// An expired lease may be reported as one that expires now.
+	renewed := n.answering || leasesExpireAt.After(laterTime(n.leasesExpireAt, now).Add(leaseMargin))
 	e.markSilent(n, now)
 	if !leasesExpireAt.IsZero() {
 		n.setLeasesExpireAt(leasesExpireAt)
--- a/placing/strayleases_test.go
+++ b/placing/strayleases_test.go
@@ -112,3 +112,28 @@
 	e.Decide(overAt)
 	is.True(currentRun(e, key) != 1)
 }
+
+// Guards against a run that is waited for for ever, as a delegate reports its worker's expired lease as one
+// that expires now.
+func TestExpiredLeaseReportedAgainDelaysNothing(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(1)
+	first, other := incarnationEntry("w1", 100), incarnationEntry("w2", 100)
+	e.UpdateWorkers([]WorkerEntry{first}, testStart)
+	e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
+	e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
+	e.MarkJobsComplete()
+	key := placeAll(e, testStart)[0].Task
+	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
+	e.UpdateWorkers([]WorkerEntry{other}, testStart)
+	expiry := testStart.Add(LeaseExpiry(testLimits.MaxLease))
+	silentAt := testStart.Add(time.Second)
+	overAt := silentAt.Add(LeaseExpiry(testLimits.MaxLease))
+	for now := silentAt; now.Before(overAt); now = now.Add(1200 * time.Millisecond) {
+		is.Equal(currentRun(e, key), 1)
+		e.WorkerUnreachable(first.ID, laterTime(expiry, now.Add(time.Nanosecond)), now)
+		e.Decide(now)
+	}
+	e.Decide(overAt)
+	is.Equal(currentRun(e, key), 0)
+}
