Count the loss of a seen run whoever seemed to answer its start

Cause: a start's answer that came late may be taken for one of another incarnation, which only means that the run is looked for. Its loss then did not count even if its own incarnation had reported it, so a task that ends its workers could be started more often than allowed.

Change: a report that shows the run says where it is.

Evidence: TestLossOfSeenRunCountsWhoeverSeemedToAnswer fails without this.

--- a/placing/report.go
+++ b/placing/report.go
@@ -87,6 +87,7 @@
 func (e *Engine) observeRun(run *run, row RunningTask, now time.Time) {
 	if !run.seen {
 		run.seen = true
+		run.startOrigin = OriginOwn
 		run.unconfirmed = false
 		e.markRunning(run.task.step.job)
 		if run.phase == phaseOrdered {
--- a/placing/strayleases_test.go
+++ b/placing/strayleases_test.go
@@ -137,3 +137,22 @@
 	e.Decide(overAt)
 	is.Equal(currentRun(e, key), 0)
 }
+
+// Guards against losses that do not count: the answer to a start came late and was taken for one of another
+// incarnation, and then the run was seen.
+func TestLossOfSeenRunCountsWhoeverSeemedToAnswer(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(1)
+	first := incarnationEntry("w1", 100)
+	e.UpdateWorkers([]WorkerEntry{first}, testStart)
+	e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
+	e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
+	e.MarkJobsComplete()
+	key := placeAll(e, testStart)[0].Task
+	e.SetStartOrigin(first.ID, key, 1, OriginOther)
+	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
+	now := testStart.Add(100 * time.Millisecond)
+	e.Report(first.ID, now, []RunningTask{{Task: key, Run: 1, Percent: 1}}, nil, now.Add(LeaseExpiry(testLimits.MaxLease)), now)
+	e.ReplaceIncarnation(first.ID, 200, now)
+	is.Equal(e.jobs[key.Job].task(key).losses.total, 1)
+}
