Expect copies of an answered start at the next incarnation, too

What callers would have seen: a task on two workers at once.

Cause: a start is sent up to three times. When a later copy is answered, an earlier one may still be under way; if the worker restarts meanwhile, it starts the run again at the next incarnation, while the run counted as lost with the former.

Change: such an answer says so (OriginOwnCopy, also from delegates).

--- a/batch/order.go
+++ b/batch/order.go
@@ -74,6 +74,9 @@
 	if err == nil {
 		origin = l.originOf(clock)
 	}
+	if origin == placing.OriginOwn && (maybeSent || unanswered) {
+		origin = placing.OriginOwnCopy
+	}
 	l.env.report(ctx, startReply{worker: order.Worker, task: order.Task, run: order.Run, result: result, origin: origin})
 	if origin == placing.OriginOther {
 		l.logLease(0).WithField("task", order.Task.String()).WithField("clock_ms", clock.workerMS).Info("start_answered_by_other_life")
--- a/placing/incarnation.go
+++ b/placing/incarnation.go
@@ -161,7 +161,7 @@
 	e.countLosses(former, runs, now)
 	for _, run := range runs {
 		switch {
-		case run.phase == phasePlanned || run.atItsNode():
+		case run.phase == phasePlanned || run.onlyAtItsNode(now):
 			e.endRun(run, "worker started again", now)
 		default:
 			run.moveTo(later)
--- a/placing/strayleases.go
+++ b/placing/strayleases.go
@@ -30,6 +30,7 @@
 	OriginUnknown AnswerOrigin = iota // no answer, or one that does not tell
 	OriginOwn                         // the incarnation that the start was sent to
 	OriginOther                       // another one
+	OriginOwnCopy                     // as OriginOwn, to a copy: an earlier one was not answered
 )
 
 // SetStartOrigin records which incarnation has answered a start. It is called before StartAnswered.
@@ -39,10 +40,18 @@
 	}
 }
 
-// atItsNode reports whether a run is, or was, at the incarnation to which its start was sent, and no
-// further copy of the start is under way.
-func (r *run) atItsNode() bool {
-	return (r.seen || r.startOrigin == OriginOwn) && !r.awaitsAnswer
+// expectCopies accounts for copies of a start that were given up by now.
+func (r *run) expectCopies(now time.Time) { r.copiesArriveUntil = now.Add(maxOrderDelay) }
+
+// reachedItsNode reports whether the incarnation to which a run's start was sent has started it.
+func (r *run) reachedItsNode() bool {
+	return r.seen || r.startOrigin == OriginOwn || r.startOrigin == OriginOwnCopy
+}
+
+// onlyAtItsNode reports whether a run is, or was, at the incarnation to which its start was sent, and no
+// copy of the start is under way.
+func (r *run) onlyAtItsNode(now time.Time) bool {
+	return r.reachedItsNode() && !r.awaitsAnswer && !now.Before(r.copiesArriveUntil)
 }
 
 // recordLeaseOrder records that an order with a lease to a node may have arrived until now.
@@ -56,13 +65,16 @@
 // mayRunInLaterIncarnation reports whether a later incarnation than a run's own may have started it, and
 // may still hold a lease.
 func (e *Engine) mayRunInLaterIncarnation(run *run, now time.Time) bool {
-	if run.node.entry.BornMS == 0 || run.phase == phasePlanned || run.atItsNode() {
+	if run.node.entry.BornMS == 0 || run.phase == phasePlanned {
 		return false
 	}
 	if run.awaitsAnswer && (run.stoppedAt.IsZero() || now.Before(e.withdrawnLeasesExpireAt(run.stoppedAt))) {
 		return true
 	}
-	return now.Before(run.node.laterLeasesExpireAt)
+	if !run.reachedItsNode() {
+		return now.Before(run.node.laterLeasesExpireAt)
+	}
+	return !run.copiesArriveUntil.IsZero() && now.Before(run.copiesArriveUntil.Add(LeaseExpiry(e.limits.MaxLease)))
 }
 
 // withdrawOrders accounts for orders to an incarnation that are withdrawn now, as it has ended or is
