Expect acknowledgements of cancelled polls and lost delegates at the next incarnation

Cause: an acknowledgement counted as confirmed once a later poll was answered, though the one that was cancelled in its favor may still be under way; and the loss of a delegate said nothing of its acknowledgements.

Change: a link remembers for three seconds when a poll with an acknowledgement was given up, whatever is answered after it; a session that ends counts as one that had sent acknowledgements.

Evidence: TestAckInSupersededHoldMayStillArrive fails without the first; TestNoWorkWhileAckOfLostDelegateMayArrive tests the decision alone.

--- a/batch/dispatchers.go
+++ b/batch/dispatchers.go
@@ -281,6 +281,7 @@
 		w.state = unassigned
 		w.unassignedSince = now
 		w.minExpiry = minExpiry
+		d.leader.engine.AckUnanswered(id, now)
 		d.leader.engine.WorkerUnreachable(id, minExpiry, now)
 	}
 }
--- a/batch/link.go
+++ b/batch/link.go
@@ -42,10 +42,11 @@
 
 	lock          sync.Mutex
 	entry         placing.WorkerEntry
-	acked         int64 // newest end that the worker may forget
-	ackSent       int64 // newest acknowledgement that was sent
-	ackedByWorker int64 // newest end for which the worker has confirmed the acknowledgement
-	workerClockMS int64 // clock of the worker at workerClockAt; 0 while unknown
+	acked         int64     // newest end that the worker may forget
+	ackInFlight   bool      // the newest hold acknowledges ends and is not answered yet
+	ackGivenUpAt  time.Time // when a hold with an acknowledgement was given up last
+	ackedByWorker int64     // newest end for which the worker has confirmed the acknowledgement
+	workerClockMS int64     // clock of the worker at workerClockAt; 0 while unknown
 	workerClockAt time.Time
 	leaseUntilMS  int64     // granted lease, on the worker's clock
 	expiry        time.Time // when the lease has expired for certain
@@ -150,7 +151,11 @@
 	l.setHold(sent, cancelCause)
 	callCtx, cancel := context.WithTimeout(ctx, wait+l.margin.current())
 	defer cancel()
+	l.setAckInFlight(order.Ack)
 	report, err := l.env.workers.Hold(callCtx, l.worker(), order)
+	if err != nil {
+		l.giveUpAck()
+	}
 	if err != nil && errors.Is(context.Cause(ctx), errHoldSuperseded) {
 		return report, call, errHoldSuperseded
 	}
@@ -188,20 +193,37 @@
 		return false
 	}
 	order.Ack = l.acked
-	l.ackSent = l.acked
 	return true
 }
 
-// ackUnanswered reports whether an acknowledgement was sent that the worker has not confirmed.
+// setAckInFlight records that a hold with an acknowledgement is sent.
+func (l *link) setAckInFlight(ack int64) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.ackInFlight = ack > 0
+}
+
+// giveUpAck records that the newest hold is given up.
+func (l *link) giveUpAck() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.ackInFlight {
+		l.ackGivenUpAt = l.env.clock.Now()
+	}
+	l.ackInFlight = false
+}
+
+// ackUnanswered reports whether an acknowledgement that was not answered may still arrive.
 func (l *link) ackUnanswered() bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	return l.ackSent > l.ackedByWorker
+	return l.ackInFlight || !l.ackGivenUpAt.IsZero() && l.env.clock.Now().Sub(l.ackGivenUpAt) < placing.MaxOrderDelay
 }
 
 func (l *link) confirmAck(number int64) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
+	l.ackInFlight = false
 	l.ackedByWorker = max(l.ackedByWorker, number)
 }
 
--- a/batch/nextincarnation_test.go
+++ b/batch/nextincarnation_test.go
@@ -195,6 +195,27 @@
 	})
 }
 
+// Guards against an acknowledgement that is forgotten because its hold was cancelled in favor of another one, which
+// was answered.
+func TestAckInSupersededHoldMayStillArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link, _, _ := scriptedLink(accept, nil, accept)
+		link.entry.BornMS = 7
+		_, _, err := link.hold(t.Context(), 0)
+		is.NoErr(err)
+		link.acknowledge(5)
+		time.AfterFunc(100*time.Millisecond, func() { link.requestReport(time.Now()) })
+		_, _, err = link.hold(t.Context(), holdWait)
+		is.Equal(err, errHoldSuperseded)
+		_, _, err = link.hold(t.Context(), 0)
+		is.NoErr(err)
+		is.True(link.ackUnanswered())
+		time.Sleep(placing.MaxOrderDelay)
+		is.True(!link.ackUnanswered())
+	})
+}
+
 // Guards against an answer of the next incarnation that is taken for one of the former, and against sound
 // answers on a congested link that are not taken for what they are.
 func TestClockTellsIncarnationsApart(t *testing.T) {
--- a/placing/strayacks.go
+++ b/placing/strayacks.go
@@ -29,5 +29,5 @@
 	if unansweredAt.IsZero() {
 		return time.Time{}
 	}
-	return unansweredAt.Add(maxOrderDelay)
+	return unansweredAt.Add(MaxOrderDelay)
 }
--- a/placing/strayacks_test.go
+++ b/placing/strayacks_test.go
@@ -46,8 +46,31 @@
 			e.UpdateWorkers([]WorkerEntry{later}, now)
 			e.Report(later.ID, now, nil, nil, time.Time{}, now)
 			is.Equal(e.nodes[later.ID].usable(now), !c.heldBack)
-			is.Equal(e.nodes[later.ID].usable(now.Add(maxOrderDelay-time.Millisecond)), !c.heldBack)
-			is.True(e.nodes[later.ID].usable(now.Add(maxOrderDelay)))
+			is.Equal(e.nodes[later.ID].usable(now.Add(MaxOrderDelay-time.Millisecond)), !c.heldBack)
+			is.True(e.nodes[later.ID].usable(now.Add(MaxOrderDelay)))
 		})
 	}
 }
+
+// Guards against ends that the acknowledgement of a delegate that was lost discards at the next incarnation.
+func TestNoWorkWhileAckOfLostDelegateMayArrive(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(1)
+	first, later := incarnationEntry("w1", 100), incarnationEntry("w1", 200)
+	e.UpdateWorkers([]WorkerEntry{first}, testStart)
+	e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
+	e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
+	e.MarkJobsComplete()
+	key := startAll(e, testStart)[0].Task
+	e.Report(first.ID, testStart, nil, []EndedTask{{Number: 1, Task: key, Run: 1, Kind: EndFailed}}, time.Time{}, testStart)
+	e.Decide(testStart)
+	e.MarkRecordsDurable(testStart)
+	is.Equal(len(e.Decide(testStart).Acks), 1)
+	lostAt := testStart.Add(time.Second)
+	e.AckUnanswered(first.ID, lostAt) // as for each worker of a session that ends
+	e.WorkerUnreachable(first.ID, lostAt.Add(LeaseExpiry(testLimits.MaxLease)), lostAt)
+	e.UpdateWorkers([]WorkerEntry{later}, lostAt)
+	e.Report(later.ID, lostAt, nil, nil, time.Time{}, lostAt)
+	is.True(!e.nodes[later.ID].usable(lostAt.Add(MaxOrderDelay - time.Millisecond)))
+	is.True(e.nodes[later.ID].usable(lostAt.Add(MaxOrderDelay)))
+}
--- a/placing/strayleases.go
+++ b/placing/strayleases.go
@@ -11,9 +11,9 @@
 // former incarnation, so the next one grants the longest lease, counted from the order's arrival.
 // The answer to a poll names the incarnation.
 
-// maxOrderDelay is how long after it was withdrawn an order may still be carried out: a delegate sends
-// orders until its grant ends, and a poll in flight may wait for a connection.
-const maxOrderDelay = 3 * time.Second
+// MaxOrderDelay is how long after it was given up or withdrawn an order may still be carried out: a delegate
+// sends orders until its grant ends, and a poll in flight may wait for a connection.
+const MaxOrderDelay = 3 * time.Second
 
 // strayOrders is what orders to former incarnations of a worker may still do to a later one. It is kept by
 // the worker's name, as the records of incarnations without runs are dropped.
@@ -41,7 +41,7 @@
 }
 
 // expectCopies accounts for copies of a start that were given up by now.
-func (r *run) expectCopies(now time.Time) { r.copiesArriveUntil = now.Add(maxOrderDelay) }
+func (r *run) expectCopies(now time.Time) { r.copiesArriveUntil = now.Add(MaxOrderDelay) }
 
 // reachedItsNode reports whether the incarnation to which a run's start was sent has started it.
 func (r *run) reachedItsNode() bool {
@@ -111,7 +111,7 @@
 
 // withdrawnLeasesExpireAt returns when the leases of orders have expired that were withdrawn at a time.
 func (e *Engine) withdrawnLeasesExpireAt(withdrawnAt time.Time) time.Time {
-	return withdrawnAt.Add(maxOrderDelay + LeaseExpiry(e.limits.MaxLease))
+	return withdrawnAt.Add(MaxOrderDelay + LeaseExpiry(e.limits.MaxLease))
 }
 
 // setLeasesExpireAt sets when the leases expire that orders to this incarnation have requested.
--- a/placing/strayleases_test.go
+++ b/placing/strayleases_test.go
@@ -81,7 +81,7 @@
 	e.Report(other.ID, replacedAt, nil, nil, time.Time{}, replacedAt)
 	e.Decide(replacedAt.Add(LeaseExpiry(testLimits.MaxLease)))
 	is.Equal(currentRun(e, key), 1)
-	e.Decide(replacedAt.Add(maxOrderDelay + LeaseExpiry(testLimits.MaxLease)))
+	e.Decide(replacedAt.Add(MaxOrderDelay + LeaseExpiry(testLimits.MaxLease)))
 	is.True(currentRun(e, key) != 1)
 }
 
@@ -106,7 +106,7 @@
 	e.WorkerUnreachable(later.ID, listedAt.Add(LeaseExpiry(testLimits.MaxLease)), listedAt.Add(time.Second))
 	e.UpdateWorkers([]WorkerEntry{other}, listedAt)
 	e.Report(other.ID, listedAt, nil, nil, time.Time{}, listedAt)
-	overAt := testStart.Add(maxOrderDelay + LeaseExpiry(testLimits.MaxLease))
+	overAt := testStart.Add(MaxOrderDelay + LeaseExpiry(testLimits.MaxLease))
 	e.Decide(overAt.Add(-time.Millisecond))
 	is.Equal(currentRun(e, key), 1)
 	e.Decide(overAt)
