Do not tell incarnations apart by the clock of one that has just started

Cause: a worker's clock that reads less than the time since its last answer may be that of an incarnation which has started since, as each begins anew; the answer to a start that took long was taken for the former's.

Change: such an answer does not tell; the run is waited for as if nobody had said who took it.

Evidence: TestClockTellsIncarnationsApart, "known incarnation has just started", fails without this.

--- a/batch/linklease.go
+++ b/batch/linklease.go
@@ -112,8 +112,11 @@
 	elapsed := reading.received.Sub(l.workerClockAt)
 	ahead := time.Duration(reading.workerMS-l.workerClockMS)*time.Millisecond - elapsed
 	behind := reading.received.Sub(reading.sent) + time.Duration(maxClockDrift*float64(elapsed))
-	if -ahead <= behind+clockTolerance && ahead <= l.margin.current() {
-		return placing.OriginOwn
+	if -ahead > behind+clockTolerance || ahead > l.margin.current() {
+		return placing.OriginOther
+	}
+	if reading.workerMS <= (elapsed + l.margin.current()).Milliseconds() {
+		return placing.OriginUnknown // an incarnation that has started since would show as much
 	}
-	return placing.OriginOther
+	return placing.OriginOwn
 }
--- a/batch/nextincarnation_test.go
+++ b/batch/nextincarnation_test.go
@@ -219,29 +219,31 @@
 // Guards against an answer of the next incarnation that is taken for one of the former, and against sound
 // answers on a congested link that are not taken for what they are.
 func TestClockTellsIncarnationsApart(t *testing.T) {
-	const age, latency = 2 * time.Second, 400 * time.Millisecond
+	const age, latency = 2 * time.Second, 400 * time.Millisecond // of the known clock, of the answer
 	for _, c := range []struct {
 		name    string
+		knownMS int64
 		clockMS int64
 		bornMS  int64
 		origin  placing.AnswerOrigin
 	}{
-		{"same clock", 12000, 7, placing.OriginOwn},
-		{"read when the start was sent", 11600, 7, placing.OriginOwn},
-		{"slow clock", 11561, 7, placing.OriginOwn},
-		{"earlier answer was late", 12400, 7, placing.OriginOwn},
-		{"clock began anew", 700, 7, placing.OriginOther},
-		{"clock began anew after a short life", 9000, 7, placing.OriginOther},
-		{"clock is far ahead", 90000, 7, placing.OriginOther},
-		{"no clock", 0, 7, placing.OriginUnknown},
-		{"each incarnation has an ID of its own", 700, 0, placing.OriginOwn},
+		{"same clock", 10000, 12000, 7, placing.OriginOwn},
+		{"read when the start was sent", 10000, 11600, 7, placing.OriginOwn},
+		{"slow clock", 10000, 11561, 7, placing.OriginOwn},
+		{"earlier answer was late", 10000, 12400, 7, placing.OriginOwn},
+		{"clock began anew", 10000, 700, 7, placing.OriginOther},
+		{"clock began anew after a short life", 10000, 9000, 7, placing.OriginOther},
+		{"clock is far ahead", 10000, 90000, 7, placing.OriginOther},
+		{"known incarnation has just started", 200, 2100, 7, placing.OriginUnknown},
+		{"no clock", 10000, 0, 7, placing.OriginUnknown},
+		{"each incarnation has an ID of its own", 10000, 700, 0, placing.OriginOwn},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			link, _, _ := scriptedLink(nil)
 			link.entry.BornMS = c.bornMS
 			now := time.Unix(1000, 0)
-			link.workerClockMS, link.workerClockAt = 10000, now.Add(-age)
+			link.workerClockMS, link.workerClockAt = c.knownMS, now.Add(-age)
 			is.Equal(link.originOf(clockReading{workerMS: c.clockMS, sent: now.Add(-latency), received: now}), c.origin)
 		})
 	}
