--- a/batch/simrestart_test.go
+++ b/batch/simrestart_test.go
@@ -50,15 +50,6 @@
 	})
 }
 
-// restartSilently restarts a worker whose machine resets no connection: calls in flight get no answer,
-// and calls that are sent while it is down reach the next incarnation.
-func (s *simWorkers) restartSilently(id string, downtime time.Duration) {
-	s.lock.Lock()
-	s.workers[id].silentRestart = true
-	s.lock.Unlock()
-	s.restart(id, downtime)
-}
-
 // restartAll restarts all workers at once.
 func (s *simWorkers) restartAll(downtime time.Duration) {
 	for id := range s.entries() {
