Do not wait for ever for the ends of a silent worker that is listed

What callers would have seen: tasks that wait for ever, with delegates and a worker that the store lists and no instance reaches.

Cause: a delegate reports an expired lease as one that expires now, with each poll without an answer, so the six seconds after the expiry began anew each time.

Change: an expired lease that is reported again moves nothing.

--- a/placing/node.go
+++ b/placing/node.go
@@ -189,7 +189,8 @@
 	// An expired lease may be reported as one that expires now.
 	renewed := n.answering || leasesExpireAt.After(laterTime(n.leasesExpireAt, now).Add(leaseMargin))
 	e.markSilent(n, now)
-	if !leasesExpireAt.IsZero() {
+	expired := !n.leasesExpireAt.IsZero() && !now.Before(n.leasesExpireAt)
+	if !leasesExpireAt.IsZero() && (renewed || !expired) {
 		n.setLeasesExpireAt(leasesExpireAt)
 	}
 	if renewed {
--- a/placing/strayleases_test.go
+++ b/placing/strayleases_test.go
@@ -138,6 +138,22 @@
 	is.Equal(currentRun(e, key), 0)
 }
 
+// Guards against a run at a listed worker that is waited for for ever, for the same reason.
+func TestExpiredLeaseReportedAgainKeepsNoRunAtListedWorkerOpen(t *testing.T) {
+	is := is.New(t)
+	e, key := engineWithRunningTask(t)
+	first := incarnationEntry("w1", 100)
+	silentAt := testStart.Add(2 * time.Second)
+	overAt := testStart.Add(11*time.Second + maxEndWait) // when its leases expire, and as long as a listed one may have ends
+	for now := silentAt; now.Before(overAt); now = now.Add(1200 * time.Millisecond) {
+		is.Equal(currentRun(e, key), 1)
+		e.WorkerUnreachable(first.ID, laterTime(testStart.Add(11*time.Second), now.Add(time.Nanosecond)), now)
+		e.Decide(now)
+	}
+	e.Decide(overAt.Add(leaseMargin))
+	is.Equal(currentRun(e, key), 0)
+}
+
 // Guards against losses that do not count: the answer to a start came late and was taken for one of another
 // incarnation, and then the run was seen.
 func TestLossOfSeenRunCountsWhoeverSeemedToAnswer(t *testing.T) {
