Count what was in flight at the former dispatcher when a worker is moved

What callers would have seen: a task on two workers at once, or again after its end, where a worker is moved between delegates and lost or restarted at once.

Cause: the lease that the former dispatcher reports with the release was kept as a lower bound for later reports, but the next dispatcher's link reports none before its first answer, and no report was let through as none. Its acknowledgement in flight was not told at all.

Change: where the present dispatcher has granted no lease the former one's counts, and a release counts as an acknowledgement under way.

--- a/batch/dispatchers.go
+++ b/batch/dispatchers.go
@@ -241,7 +241,7 @@
 // dispatcher reports: a previous dispatcher may have renewed later.
 func (d *dispatchers) effectiveExpiry(worker string, expiry time.Time) time.Time {
 	w := d.workers[worker]
-	if w == nil || expiry.IsZero() || expiry.After(w.minExpiry) {
+	if w == nil || expiry.After(w.minExpiry) {
 		return expiry
 	}
 	return w.minExpiry
@@ -343,5 +343,6 @@
 	if expiry.After(w.minExpiry) {
 		w.minExpiry = expiry
 	}
+	d.leader.engine.AckUnanswered(worker, now) // a cancelled poll may have carried one
 	d.changed = true
 }
