Stop starts that may still arrive at the next incarnation of their worker

What callers would have seen: a task on two workers at once, or again after its end.

Cause: that a copy of a start was given up without an answer was kept with the run, and went with it: when the run had ended as done, or was taken as stopped as the former incarnation had answered the stop. The next incarnation knows neither.

Change: starts that were given up are kept by the worker's name for as long as they may arrive, and are stopped at an incarnation of that name when it answers first.

--- a/batch/latestart_test.go
+++ b/batch/latestart_test.go
@@ -14,12 +14,21 @@
 )
 
 // lateStarts is a client of workers whose first attempt of each start gets no answer and is carried out after
-// delay, by the incarnation that is at the address by then.
+// delay, by the incarnation that is at the address by then. If losesOthers is set, further attempts are lost.
 type lateStarts struct {
 	*simClient
-	delay time.Duration
-	lock  sync.Mutex
-	sent  map[startKey]bool
+	delay       time.Duration
+	losesOthers bool
+	lock        sync.Mutex
+	sent        map[startKey]bool
+	workers     map[string]bool // that had such an attempt
+}
+
+// setLateStarts lets the leader of a fleet start tasks late.
+func (f *testFleet) setLateStarts(delay time.Duration, losesOthers bool) *lateStarts {
+	client := &lateStarts{simClient: &simClient{fleet: f.workers, instance: "a"}, delay: delay, losesOthers: losesOthers, sent: map[startKey]bool{}, workers: map[string]bool{}}
+	f.leader.dispatchers.ownLinks.env.workers = client
+	return client
 }
 
 func (c *lateStarts) Start(ctx context.Context, worker placing.WorkerEntry, order StartOrder) (int64, error) {
@@ -27,7 +36,14 @@
 	c.lock.Lock()
 	first := !c.sent[key] && order.Run == 1
 	c.sent[key] = true
+	if first {
+		c.workers[worker.Name] = true
+	}
 	c.lock.Unlock()
+	if !first && c.losesOthers && order.Run == 1 {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	if !first {
 		return c.simClient.Start(ctx, worker, order)
 	}
@@ -48,7 +64,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newTestFleet(t, newSimWorkers(8, 6*time.Second), 0)
-				f.leader.dispatchers.ownLinks.env.workers = &lateStarts{simClient: &simClient{fleet: f.workers, instance: "a"}, delay: delay, sent: map[startKey]bool{}}
+				f.setLateStarts(delay, false)
 				f.start()
 				defer f.stop()
 				time.Sleep(linkSetupTime)
@@ -66,3 +82,39 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: a copy of its start reaches the next incarnation of the worker after
+// the run has ended as done, or was stopped as no copy was answered.
+func TestLateCopyOfStartOfEndedRunRunsNothingTwice(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		taskTime    time.Duration
+		losesOthers bool
+		crashAfter  time.Duration
+	}{
+		{"ended as done", 400 * time.Millisecond, false, 1500 * time.Millisecond},
+		{"stopped", 6 * time.Second, true, 1600 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newTestFleet(t, newSimWorkers(8, c.taskTime), 0)
+				client := f.setLateStarts(2600*time.Millisecond, c.losesOthers)
+				f.start()
+				defer f.stop()
+				time.Sleep(linkSetupTime)
+				f.keepListComplete()
+				f.submit("a1", 4)
+				time.Sleep(c.crashAfter)
+				for name := range client.workers {
+					f.workers.restart(name, 300*time.Millisecond)
+				}
+				time.Sleep(400 * time.Millisecond)
+				f.refreshWorkerList()
+				time.Sleep(40 * time.Second)
+				is.Equal(f.doubleRuns(), 0)
+				is.Equal(f.doneTasks(), 4)
+			})
+		})
+	}
+}
--- a/placing/report.go
+++ b/placing/report.go
@@ -20,6 +20,7 @@
 	}
 	e.handleAnswer(n, now)
 	if !n.reported {
+		e.stopOpenStarts(n, now)
 		e.plan.LogEvents = append(e.plan.LogEvents, LogEvent{Event: "worker_reported", Worker: worker,
 			Detail: "running " + strconv.Itoa(len(running)) + " ended " + strconv.Itoa(len(ended))})
 	}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -80,17 +80,22 @@
 
 // StartAnswered handles a worker's answer to a start.
 func (e *Engine) StartAnswered(worker string, key jobs.TaskKey, number int, result StartResult, now time.Time) {
-	run := e.findRun(worker, key, number)
-	if n := e.nodes[worker]; n != nil && (run == nil || run.startOrigin != OriginOwn && run.startOrigin != OriginOwnCopy) {
+	n := e.nodes[worker]
+	if n == nil {
+		return
+	}
+	run := n.findRun(key, number)
+	copied := run != nil && run.startOrigin == OriginOwnCopy
+	if run == nil || run.startOrigin != OriginOwn && !copied {
 		e.recordLeaseOrder(n, now)
 	}
+	if result == StartUnknown || copied {
+		e.expectCopies(n, key, number, now)
+	}
 	if run == nil {
 		return
 	}
 	run.awaitsAnswer = false
-	if result == StartUnknown || run.startOrigin == OriginOwnCopy {
-		run.expectCopies(now)
-	}
 	switch result {
 	case StartAccepted:
 		e.startAccepted(run, now)
--- a/placing/strayleases.go
+++ b/placing/strayleases.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
@@ -20,6 +21,15 @@
 type strayOrders struct {
 	leasesExpireAt  time.Time // when the leases have expired that such an order may be granted
 	acksArriveUntil time.Time // until when an acknowledgement may arrive
+	starts          []openStart
+}
+
+// openStart is a start of which a copy was given up without an answer. It may arrive whatever has become of
+// its run.
+type openStart struct {
+	task        jobs.TaskKey
+	run         int
+	arriveUntil time.Time
 }
 
 // AnswerOrigin says which incarnation of a worker has answered a start.
@@ -41,7 +51,28 @@
 }
 
 // expectCopies accounts for copies of a start that were given up by now.
-func (r *run) expectCopies(now time.Time) { r.copiesArriveUntil = now.Add(MaxOrderDelay) }
+func (e *Engine) expectCopies(n *node, key jobs.TaskKey, number int, now time.Time) {
+	if n.entry.BornMS == 0 {
+		return
+	}
+	until := now.Add(MaxOrderDelay)
+	if run := n.findRun(key, number); run != nil {
+		run.copiesArriveUntil = until
+	}
+	stray := e.strayOrders[n.entry.Name]
+	stray.starts = append(stray.starts, openStart{task: key, run: number, arriveUntil: until})
+	e.strayOrders[n.entry.Name] = stray
+}
+
+// stopOpenStarts stops, at an incarnation that answers for the first time, starts for former ones that may
+// still arrive there.
+func (e *Engine) stopOpenStarts(n *node, now time.Time) {
+	for _, start := range e.strayOrders[n.entry.Name].starts {
+		if now.Before(start.arriveUntil) && n.findRun(start.task, start.run) == nil {
+			e.plan.Stops = append(e.plan.Stops, Stop{Task: start.task, Run: start.run, Worker: n.entry.ID})
+		}
+	}
+}
 
 // reachedItsNode reports whether the incarnation to which a run's start was sent has started it.
 func (r *run) reachedItsNode() bool {
@@ -96,9 +127,12 @@
 // expireStrayOrders drops what can have no effect any more.
 func (e *Engine) expireStrayOrders(now time.Time) {
 	for name, stray := range e.strayOrders {
-		if now.After(stray.leasesExpireAt) && now.After(stray.acksArriveUntil) {
+		stray.starts = slices.DeleteFunc(stray.starts, func(start openStart) bool { return now.After(start.arriveUntil) })
+		if len(stray.starts) == 0 && now.After(stray.leasesExpireAt) && now.After(stray.acksArriveUntil) {
 			delete(e.strayOrders, name)
+			continue
 		}
+		e.strayOrders[name] = stray
 	}
 }
 
