--- a/batch/linklease.go
+++ b/batch/linklease.go
@@ -90,12 +90,8 @@
 	sent, received time.Time
 }
 
-const (
-	// maxClockDrift is the share by which a worker's clock may be slow.
-	maxClockDrift = 0.02
-	// clockTolerance covers the rounding of clocks to milliseconds.
-	clockTolerance = 10 * time.Millisecond
-)
+// clockTolerance covers the rounding of clocks to milliseconds.
+const clockTolerance = 10 * time.Millisecond
 
 // originOf returns which incarnation of the worker has given a clock, as the clock of each starts anew.
 // The clock that the link knows was read before the answer that gave it arrived, by no more than that
@@ -111,7 +107,7 @@
 	}
 	elapsed := reading.received.Sub(l.workerClockAt)
 	ahead := time.Duration(reading.workerMS-l.workerClockMS)*time.Millisecond - elapsed
-	behind := reading.received.Sub(reading.sent) + time.Duration(maxClockDrift*float64(elapsed))
+	behind := reading.received.Sub(reading.sent) + time.Duration(placing.ClockDrift*float64(elapsed))
 	if -ahead > behind+clockTolerance || ahead > l.margin.current() {
 		return placing.OriginOther
 	}
--- a/batch/order.go
+++ b/batch/order.go
@@ -79,7 +79,7 @@
 	}
 	l.env.report(ctx, startReply{worker: order.Worker, task: order.Task, run: order.Run, result: result, origin: origin})
 	if origin == placing.OriginOther {
-		l.logLease(0).WithField("task", order.Task.String()).WithField("clock_ms", clock.workerMS).Info("start_answered_by_other_life")
+		l.logLease(0).WithField("task", order.Task.String()).WithField("clock_ms", clock.workerMS).Info("start_answered_by_other_incarnation")
 		l.requestReport(clock.received)
 	}
 }
--- a/placing/incarnation.go
+++ b/placing/incarnation.go
@@ -117,7 +117,7 @@
 	if later.entry.Address == "" {
 		later.entry.Address = entry.Address
 	}
-	e.markSilent(former, now) // AckUnanswered has told what it has not confirmed
+	e.markSilent(former, now) // what it has not confirmed is known by AckUnanswered
 	e.replaceIncarnation(former, later, now)
 	return later.entry, len(later.runs) > 0 && !later.listed
 }
--- a/placing/node.go
+++ b/placing/node.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// clockDrift is the share by which a worker's clock may be slow, and its leases last
+	// ClockDrift is the share by which a worker's clock may be slow, and its leases last
 	// longer, as the platform states it.
-	clockDrift = 0.02
+	ClockDrift = 0.02
 	// leaseMargin covers the error of the estimate of the worker's clock and the delivery
 	// of an order.
 	leaseMargin = 400 * time.Millisecond
@@ -23,7 +23,7 @@
 // LeaseExpiry returns the time after which a lease of some length has certainly
 // expired, counted from sending the order that requested it.
 func LeaseExpiry(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease)*(1+clockDrift)) + leaseMargin
+	return time.Duration(float64(lease)*(1+ClockDrift)) + leaseMargin
 }
 
 // node is the engine's record of one incarnation of a worker.
--- a/placing/strayleases.go
+++ b/placing/strayleases.go
@@ -148,7 +148,8 @@
 	return withdrawnAt.Add(MaxOrderDelay + LeaseExpiry(e.limits.MaxLease))
 }
 
-// setLeasesExpireAt sets when the leases expire that orders to this incarnation have requested.
+// setLeasesExpireAt sets when the leases expire that orders to this incarnation have requested, or later if
+// those to former ones count for longer.
 func (n *node) setLeasesExpireAt(at time.Time) {
 	n.leasesExpireAt = laterTime(at, n.stray.leasesExpireAt)
 }
