--- a/placing/strayacks_test.go
+++ b/placing/strayacks_test.go
@@ -22,13 +22,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			e := testEngine(1)
 			first, later := incarnationEntry("w1", 100), incarnationEntry("w1", 200)
-			e.UpdateWorkers([]WorkerEntry{first}, testStart)
-			e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
-			e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
-			e.MarkJobsComplete()
-			key := startAll(e, testStart)[0].Task
+			e, key := engineWithStart(first)
+			e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
 			if c.ack {
 				now := testStart.Add(time.Second)
 				e.Report(first.ID, now, nil, []EndedTask{{Number: 1, Task: key, Run: 1, Kind: EndFailed}}, time.Time{}, now)
@@ -55,13 +51,9 @@
 // Guards against ends that the acknowledgement of a delegate that was lost discards at the next incarnation.
 func TestNoWorkWhileAckOfLostDelegateMayArrive(t *testing.T) {
 	is := is.New(t)
-	e := testEngine(1)
 	first, later := incarnationEntry("w1", 100), incarnationEntry("w1", 200)
-	e.UpdateWorkers([]WorkerEntry{first}, testStart)
-	e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
-	e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
-	e.MarkJobsComplete()
-	key := startAll(e, testStart)[0].Task
+	e, key := engineWithStart(first)
+	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
 	e.Report(first.ID, testStart, nil, []EndedTask{{Number: 1, Task: key, Run: 1, Kind: EndFailed}}, time.Time{}, testStart)
 	e.Decide(testStart)
 	e.MarkRecordsDurable(testStart)
--- a/placing/strayleases_test.go
+++ b/placing/strayleases_test.go
@@ -18,6 +18,16 @@
 	return run.number
 }
 
+// engineWithStart returns an engine that has sent the start of a task to an incarnation, and the task's key.
+func engineWithStart(incarnation WorkerEntry) (*Engine, jobs.TaskKey) {
+	e := testEngine(1)
+	e.UpdateWorkers([]WorkerEntry{incarnation}, testStart)
+	e.Report(incarnation.ID, testStart, nil, nil, time.Time{}, testStart)
+	e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
+	e.MarkJobsComplete()
+	return e, placeAll(e, testStart)[0].Task
+}
+
 // Guards against a second run of a task whose start the next incarnation of its worker accepted: its lease
 // there lasts longer than the one that the former incarnation was granted.
 func TestRunThatNextIncarnationMayHaveStartedOutlastsFormerLease(t *testing.T) {
@@ -38,13 +48,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			e := testEngine(1)
 			first, other := incarnationEntry("w1", 100), incarnationEntry("w2", 100)
-			e.UpdateWorkers([]WorkerEntry{first}, testStart)
-			e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
-			e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
-			e.MarkJobsComplete()
-			key := placeAll(e, testStart)[0].Task
+			e, key := engineWithStart(first)
 			e.SetStartOrigin(first.ID, key, 1, c.origin)
 			e.StartAnswered(first.ID, key, 1, c.result, answeredAt)
 			e.WorkerUnreachable(first.ID, formerExpiry, givenUpAt)
@@ -63,13 +68,8 @@
 // and which then fell silent.
 func TestRunMovedToListedIncarnationWaitsForOrdersOnTheirWay(t *testing.T) {
 	is := is.New(t)
-	e := testEngine(1)
 	first, later, other := incarnationEntry("w1", 100), incarnationEntry("w1", 200), incarnationEntry("w2", 100)
-	e.UpdateWorkers([]WorkerEntry{first}, testStart)
-	e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
-	e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
-	e.MarkJobsComplete()
-	key := placeAll(e, testStart)[0].Task
+	e, key := engineWithStart(first)
 	e.SetStartOrigin(first.ID, key, 1, OriginOther)
 	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
 	e.UpdateWorkers([]WorkerEntry{later, other}, testStart)
@@ -117,13 +117,8 @@
 // that expires now.
 func TestExpiredLeaseReportedAgainDelaysNothing(t *testing.T) {
 	is := is.New(t)
-	e := testEngine(1)
 	first, other := incarnationEntry("w1", 100), incarnationEntry("w2", 100)
-	e.UpdateWorkers([]WorkerEntry{first}, testStart)
-	e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
-	e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
-	e.MarkJobsComplete()
-	key := placeAll(e, testStart)[0].Task
+	e, key := engineWithStart(first)
 	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
 	e.UpdateWorkers([]WorkerEntry{other}, testStart)
 	expiry := testStart.Add(LeaseExpiry(testLimits.MaxLease))
@@ -158,13 +153,8 @@
 // incarnation, and then the run was seen.
 func TestLossOfSeenRunCountsWhoeverSeemedToAnswer(t *testing.T) {
 	is := is.New(t)
-	e := testEngine(1)
 	first := incarnationEntry("w1", 100)
-	e.UpdateWorkers([]WorkerEntry{first}, testStart)
-	e.Report(first.ID, testStart, nil, nil, time.Time{}, testStart)
-	e.addJob(testJob(hexID(1), 1, testStep(1, 8)), testStart)
-	e.MarkJobsComplete()
-	key := placeAll(e, testStart)[0].Task
+	e, key := engineWithStart(first)
 	e.SetStartOrigin(first.ID, key, 1, OriginOther)
 	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
 	now := testStart.Add(100 * time.Millisecond)
