Use a worker at once that has not restarted though its entry was absent

What callers would have seen: up to three seconds without new work on workers whose entries return after an outage of the store, if they had been sent an acknowledgement.

Cause: what orders to an incarnation may still do was kept by the worker's name alone. It was held against the same incarnation when its entry, and with it its record, had gone for a moment. Its own orders cannot be stray there.

Change: it is kept by name and incarnation, and counts for the others only.

Evidence: TestWorkerThatIsListedOnceMoreIsUsedAtOnce fails before and passes now; the tests of orders that reach another incarnation pass in placing and batch.

--- a/placing/engine.go
+++ b/placing/engine.go
@@ -17,10 +17,10 @@
 	jobs                map[string]*job
 	active              []*job // jobs without a final state, in the order of acceptance
 	nodes               map[string]*node
-	incarnations        map[string][]*node     // nodes by the name of their worker
-	strayOrders         map[string]strayOrders // by worker name
-	newestAnswers       map[string]answer      // newest answer of each worker, by name
-	nodeOrder           []*node                // by ID, for deterministic decisions
+	incarnations        map[string][]*node        // nodes by the name of their worker
+	strayOrders         map[string][]*strayOrders // by worker name
+	newestAnswers       map[string]answer         // newest answer of each worker, by name
+	nodeOrder           []*node                   // by ID, for deterministic decisions
 	queues              map[string]jobs.Queue
 	guarantees          map[string]int64
 	uncheckedPools      map[string]bool       // pools whose workers accept starts without checking their capacity
@@ -79,7 +79,7 @@
 		jobs:              map[string]*job{},
 		nodes:             map[string]*node{},
 		incarnations:      map[string][]*node{},
-		strayOrders:       map[string]strayOrders{},
+		strayOrders:       map[string][]*strayOrders{},
 		newestAnswers:     map[string]answer{},
 		queues:            map[string]jobs.Queue{},
 		guarantees:        map[string]int64{},
--- a/placing/node.go
+++ b/placing/node.go
@@ -35,7 +35,8 @@
 	silentAt               time.Time // since when polls are not answered; zero while they are
 	leasesExpireAt         time.Time // when all leases there expire, unless renewed
 	laterLeasesExpireAt    time.Time // when leases of orders expire that a later incarnation may have carried out
-	stray                  strayOrders
+	strayLeasesExpireAt    time.Time // when leases of orders to other incarnations have expired that this one may have carried out
+	strayAcksArriveUntil   time.Time // until when acknowledgements for other incarnations may arrive here
 	sentAcks               sentAcks
 	runs                   []*run         // that may be there
 	used                   jobs.Resources // by runs
@@ -117,7 +118,7 @@
 		e.inheritSpeed(n)
 		if entry.Name != "" {
 			e.incarnations[entry.Name] = append(e.incarnations[entry.Name], n)
-			n.expectStrayOrders(e.strayOrders[entry.Name])
+			e.expectStrayOrders(n)
 		}
 		e.nodeOrder = append(e.nodeOrder, n)
 		sort.Slice(e.nodeOrder, func(a, b int) bool { return e.nodeOrder[a].entry.ID < e.nodeOrder[b].entry.ID })
--- a/placing/pass.go
+++ b/placing/pass.go
@@ -91,7 +91,7 @@
 // usable reports whether a node can accept new work.
 func (n *node) usable(now time.Time) bool {
 	present := n.listed && n.reported && n.answering && !n.entry.Leaving && !n.evacuated
-	return present && n.unknownRuns == 0 && !now.Before(n.fullUntil) && !now.Before(n.stray.acksArriveUntil)
+	return present && n.unknownRuns == 0 && !now.Before(n.fullUntil) && !now.Before(n.strayAcksArriveUntil)
 }
 
 // schedulable reports whether a node can accept new work and is neither isolated nor in
--- a/placing/strayacks_test.go
+++ b/placing/strayacks_test.go
@@ -66,3 +66,23 @@
 	is.True(!e.nodes[later.ID].usable(lostAt.Add(MaxOrderDelay - time.Millisecond)))
 	is.True(e.nodes[later.ID].usable(lostAt.Add(MaxOrderDelay)))
 }
+
+// Guards against a worker that gets no work for a while though it has not restarted: its entry was absent for a
+// moment.
+func TestWorkerThatIsListedOnceMoreIsUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	first := incarnationEntry("w1", 100)
+	e, key := engineWithStart(first)
+	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
+	e.Report(first.ID, testStart, nil, []EndedTask{{Number: 1, Task: key, Run: 1, Kind: EndFailed}}, time.Time{}, testStart)
+	e.Decide(testStart)
+	e.MarkRecordsDurable(testStart)
+	is.Equal(len(e.Decide(testStart).Acks), 1)
+	e.Cancel(key.Job, testStart)
+	e.UpdateWorkers(nil, testStart)
+	is.Equal(len(e.nodes), 0)
+	now := testStart.Add(time.Second)
+	e.UpdateWorkers([]WorkerEntry{first}, now)
+	e.Report(first.ID, now, nil, nil, time.Time{}, now)
+	is.True(e.nodes[first.ID].usable(now))
+}
--- a/placing/strayleases.go
+++ b/placing/strayleases.go
@@ -16,9 +16,10 @@
 // sends orders until its grant ends, and a poll in flight may wait for a connection.
 const MaxOrderDelay = 3 * time.Second
 
-// strayOrders is what orders to former incarnations of a worker may still do to a later one. It is kept by
+// strayOrders is what orders to one incarnation of a worker may still do to another one. It is kept by
 // the worker's name, as the records of incarnations without runs are dropped.
 type strayOrders struct {
+	bornMS          int64     // of the incarnation that the orders are for
 	leasesExpireAt  time.Time // when the leases have expired that such an order may be granted
 	acksArriveUntil time.Time // until when an acknowledgement may arrive
 	starts          []openStart
@@ -59,17 +60,34 @@
 	if run := n.findRun(key, number); run != nil {
 		run.copiesArriveUntil = until
 	}
-	stray := e.strayOrders[n.entry.Name]
+	stray := e.strayOrdersTo(n)
 	stray.starts = append(stray.starts, openStart{task: key, run: number, arriveUntil: until})
-	e.strayOrders[n.entry.Name] = stray
 }
 
-// stopOpenStarts stops, at an incarnation that answers for the first time, starts for former ones that may
+// strayOrdersTo returns the record of orders to a node, which it creates if needed.
+func (e *Engine) strayOrdersTo(n *node) *strayOrders {
+	list := e.strayOrders[n.entry.Name]
+	for _, stray := range list {
+		if stray.bornMS == n.entry.BornMS {
+			return stray
+		}
+	}
+	stray := &strayOrders{bornMS: n.entry.BornMS}
+	e.strayOrders[n.entry.Name] = append(list, stray)
+	return stray
+}
+
+// stopOpenStarts stops, at an incarnation that answers for the first time, starts for other ones that may
 // still arrive there.
 func (e *Engine) stopOpenStarts(n *node, now time.Time) {
-	for _, start := range e.strayOrders[n.entry.Name].starts {
-		if now.Before(start.arriveUntil) && n.findRun(start.task, start.run) == nil {
-			e.plan.Stops = append(e.plan.Stops, Stop{Task: start.task, Run: start.run, Worker: n.entry.ID})
+	for _, stray := range e.strayOrders[n.entry.Name] {
+		if stray.bornMS == n.entry.BornMS {
+			continue
+		}
+		for _, start := range stray.starts {
+			if now.Before(start.arriveUntil) && n.findRun(start.task, start.run) == nil {
+				e.plan.Stops = append(e.plan.Stops, Stop{Task: start.task, Run: start.run, Worker: n.entry.ID})
+			}
 		}
 	}
 }
@@ -114,32 +132,41 @@
 	if former.entry.BornMS == 0 || !former.reported {
 		return
 	}
-	name := former.entry.Name
-	stray := e.strayOrders[name]
+	stray := e.strayOrdersTo(former)
 	stray.leasesExpireAt = laterTime(stray.leasesExpireAt, e.withdrawnLeasesExpireAt(now))
 	stray.acksArriveUntil = laterTime(stray.acksArriveUntil, former.acksArriveUntil(now))
-	e.strayOrders[name] = stray
-	for _, later := range e.otherIncarnations(former) {
-		later.expectStrayOrders(stray)
+	for _, other := range e.otherIncarnations(former) {
+		e.expectStrayOrders(other)
 	}
 }
 
 // expireStrayOrders drops what can have no effect any more.
 func (e *Engine) expireStrayOrders(now time.Time) {
-	for name, stray := range e.strayOrders {
-		stray.starts = slices.DeleteFunc(stray.starts, func(start openStart) bool { return now.After(start.arriveUntil) })
-		if len(stray.starts) == 0 && now.After(stray.leasesExpireAt) && now.After(stray.acksArriveUntil) {
+	for name, list := range e.strayOrders {
+		list = slices.DeleteFunc(list, func(stray *strayOrders) bool { return stray.expired(now) })
+		if len(list) == 0 {
 			delete(e.strayOrders, name)
 			continue
 		}
-		e.strayOrders[name] = stray
+		e.strayOrders[name] = list
 	}
 }
 
-// expectStrayOrders accounts for orders to former incarnations: no lease counts as expired before those
-// have that such an order may be granted.
-func (n *node) expectStrayOrders(stray strayOrders) {
-	n.stray = stray
+// expired drops starts that cannot arrive any more, and reports whether nothing else is left.
+func (s *strayOrders) expired(now time.Time) bool {
+	s.starts = slices.DeleteFunc(s.starts, func(start openStart) bool { return now.After(start.arriveUntil) })
+	return len(s.starts) == 0 && now.After(s.leasesExpireAt) && now.After(s.acksArriveUntil)
+}
+
+// expectStrayOrders accounts at a node for orders to other incarnations of its worker: no lease counts as
+// expired before those have that such an order may be granted.
+func (e *Engine) expectStrayOrders(n *node) {
+	for _, stray := range e.strayOrders[n.entry.Name] {
+		if stray.bornMS != n.entry.BornMS {
+			n.strayLeasesExpireAt = laterTime(n.strayLeasesExpireAt, stray.leasesExpireAt)
+			n.strayAcksArriveUntil = laterTime(n.strayAcksArriveUntil, stray.acksArriveUntil)
+		}
+	}
 	n.setLeasesExpireAt(n.leasesExpireAt)
 }
 
@@ -151,5 +178,5 @@
 // setLeasesExpireAt sets when the leases expire that orders to this incarnation have requested, or later if
 // those to former ones count for longer.
 func (n *node) setLeasesExpireAt(at time.Time) {
-	n.leasesExpireAt = laterTime(at, n.stray.leasesExpireAt)
+	n.leasesExpireAt = laterTime(at, n.strayLeasesExpireAt)
 }
