--- a/batch/linklease.go
+++ b/batch/linklease.go
@@ -11,15 +11,18 @@
 // leaseForHold returns the lease that a hold requests: 0, for none, while the worker does not answer.
 // Its next incarnation may receive the hold, and would grant the longest lease to what runs there.
 func (l *link) leaseForHold(now time.Time) int64 {
-	l.lock.Lock()
-	reachable := l.reachable
-	l.lock.Unlock()
-	if !reachable {
+	if !l.isReachable() {
 		return 0
 	}
 	return l.extendLease(now)
 }
 
+func (l *link) isReachable() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.reachable
+}
+
 // extendLease returns the lease to request. The lease is not extended while the worker does not
 // answer, so that the time at which everything has expired does not move.
 func (l *link) extendLease(now time.Time) int64 {
@@ -51,7 +54,8 @@
 
 // extendExpiry accounts for a start sent at the given time that was not answered. A later
 // incarnation of the worker may have accepted it. That one reads the lease, which is on the clock
-// of the former incarnation, as the longest lease that it grants from then on.
+// of the former incarnation, as the longest lease that it grants from then on. The engine accounts for it
+// as well; a leader of a former version knows only the time that its delegates report.
 func (l *link) extendExpiry(sent time.Time) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
--- a/placing/loss.go
+++ b/placing/loss.go
@@ -100,10 +100,10 @@
 // early if more than maxUnexplainedSilences workers without a just started run fall silent
 // within earlyLossWindow of it. The log names a recently restarted worker "unsteady".
 func (e *Engine) countLoss(run *run, now time.Time) {
-	task := run.task
-	if run.phase == phasePlanned || run.startOrigin == OriginOther || task.run != run || task.done || task.step.job.state.Final() || run.number <= task.losses.lastRun {
+	if !run.lossCounts() {
 		return
 	}
+	task := run.task
 	losses := task.losses
 	losses.total++
 	losses.lastRun = run.number
@@ -119,6 +119,15 @@
 		fmt.Sprintf("%s losses %d early %d unsteady %t", task.key, losses.total, losses.early, now.Before(run.node.recentlyRestartedUntil)))
 }
 
+// lossCounts reports whether the loss of a run's worker says something of its task: the run was started there,
+// its task still depends on it, and its loss was not counted yet.
+func (r *run) lossCounts() bool {
+	if r.phase == phasePlanned || r.startOrigin == OriginOther || r.number <= r.task.losses.lastRun {
+		return false
+	}
+	return r.task.run == r && !r.task.done && !r.task.step.job.state.Final()
+}
+
 // setLosses sets the losses of a task and of its gang.
 func (t *task) setLosses(updated losses) {
 	t.step.hasSuspects = true
