--- a/review/harness-3/fleet.go
+++ b/review/harness-3/fleet.go
@@ -61,11 +61,16 @@
 	instances []*instance
 	client    *http.Client
 	version   int
+	// The fields below are of the search alone.
+	storeFaults *storeFaults
+	advice      string // address of the service that decides which runners may run a step
+	mixedKinds  bool   // every second machine is of kind b as well
 }
 
 type instance struct {
 	name  string
 	ip    string
+	path  string // of its settings
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
@@ -97,7 +102,8 @@
 		return nil, err
 	}
 	f.storeAddr = listener.Addr().String()
-	go http.Serve(listener, f.store)
+	f.storeFaults = &storeFaults{next: f.store}
+	go http.Serve(listener, f.storeFaults)
 	f.publish()
 	return f, nil
 }
@@ -107,8 +113,12 @@
 	f.version++
 	var routes []map[string]any
 	for _, q := range queues {
-		routes = append(routes, map[string]any{"name": q.name, "host": q.host, "path_prefix": q.prefix, "kind": "unsafe", "timeout_ms": 3000,
-			"target_latency_ms": q.targetMS, "priority": q.priority, "service": f.service, "max_attempts": q.attempts, "stretch": q.stretch, "public": false})
+		route := map[string]any{"name": q.name, "host": q.host, "path_prefix": q.prefix, "kind": "unsafe", "timeout_ms": 3000,
+			"target_latency_ms": q.targetMS, "priority": q.priority, "service": f.service, "max_attempts": q.attempts, "stretch": q.stretch, "public": false}
+		if q.name == "r-advised" {
+			route["advice"] = map[string]any{"decide_ms": adviceTime.Milliseconds(), "each_ms": 0, "valid_ms": ticketTime.Milliseconds()}
+		}
+		routes = append(routes, route)
 	}
 	config := map[string]any{"version": f.version, "routes": routes,
 		"services": []map[string]any{{"name": f.service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "admission_check": true, "spare": false}},
@@ -148,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	i := &instance{name: fmt.Sprintf("front-%d", index+1), ip: ip, ended: make(chan struct{})}
+	i := &instance{name: fmt.Sprintf("front-%d", index+1), ip: ip}
 	zone := f.zones[index%len(f.zones)]
 	regions := map[string]string{}
 	for _, name := range f.zones {
@@ -168,12 +178,14 @@
 			"recovery_s": 12, "max_hold_ms": maxHold.Milliseconds(), "stop_ms": 200, "gang_wait_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250,
 			"finish_s": 14, "status_s": 120, "remote_factor": 3, "checkpoint_s": checkpointTime.Seconds(), "restore_ms": 250, "notice_ms": 4500, "move_s": 1.5,
 			"upkeep_s": 2, "require_fence": true, "lease_ms": 3000, "thaw_slack_ms": 300, "pace_ms": 100, "harm_ms": 4000, "reclaim_ms": 2700},
-		"orders": "call", "advice": nil,
+		"orders": "call",
 		"platform": map[string]any{"address": f.storeAddr, "form": "log", "writes_per_s": 600, "reads_per_s": 2000, "parts": 8, "append_ms": 4.0, "part_mb_s": 20.0,
 			"read_mb_s": 80.0, "record_bytes": recordBytes, "call_bytes": callBytes, "keep_s": 300, "part_mb": 200, "ttl_min_ms": 1000},
 		"cloud": map[string]any{"address": "127.0.0.1:9", "rate_per_s": 60.0, "duties": []string{}, "duty_per_s": 60.0},
 	}
-	delete(settings, "advice")
+	if f.advice != "" {
+		settings["advice"] = f.advice
+	}
 	encoded, err := json.MarshalIndent(settings, "", " ")
 	if err != nil {
 		return err
@@ -182,25 +194,44 @@
 	if err := os.WriteFile(path, encoded, 0o600); err != nil {
 		return err
 	}
-	logFile, err := os.Create(filepath.Join(f.folder, i.name+".log"))
+	i.path = path
+	if err := f.launch(i); err != nil {
+		return err
+	}
+	f.instances = append(f.instances, i)
+	return nil
+}
+
+// launch starts the process of an instance.
+func (f *fleet) launch(i *instance) error {
+	logFile, err := os.OpenFile(filepath.Join(f.folder, i.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
+	defer logFile.Close()
+	i.ended = make(chan struct{})
 	i.cmd = exec.Command("target/teaselcleat", "front", "-metrics-port", fmt.Sprint(metricsPort))
-	i.cmd.Env = []string{"TEASELCLEAT_CONFIG=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
+	i.cmd.Env = []string{"TEASELCLEAT_CONFIG=" + i.path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
 	i.cmd.Stdout, i.cmd.Stderr = logFile, logFile
 	i.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := i.cmd.Start(); err != nil {
 		return err
 	}
+	cmd, ended := i.cmd, i.ended
 	go func() {
-		_ = i.cmd.Wait()
-		close(i.ended)
+		_ = cmd.Wait()
+		close(ended)
 	}()
-	f.instances = append(f.instances, i)
 	return nil
 }
 
+// restart starts an instance again that has ended, as the platform does.
+func (f *fleet) restart(i *instance) {
+	if err := f.launch(i); err != nil {
+		f.events.add("%s does not start: %s", i.name, err)
+	}
+}
+
 // run starts a deployment and waits until all of it is ready.
 func (f *fleet) run(instances, machines int) error {
 	for index := range machines {
--- a/review/harness-3/judge.go
+++ b/review/harness-3/judge.go
@@ -22,6 +22,7 @@
 	over   time.Time // zero while it runs
 	how    string
 	noted  bool // the end was taken note of
+	kind   string
 }
 
 func newJudge(log *events) *judge { return &judge{events: log, runs: map[string][]*seenRun{}} }
@@ -29,7 +30,7 @@
 func (j *judge) started(r *runner, run *taskRun) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.runs[run.task] = append(j.runs[run.task], &seenRun{runner: r.id, number: run.number, began: time.Now()})
+	j.runs[run.task] = append(j.runs[run.task], &seenRun{runner: r.id, number: run.number, began: time.Now(), kind: r.kind})
 	if !j.quiet {
 		j.events.add("%s starts %s run %d", r.id, run.task, run.number)
 	}
@@ -53,7 +54,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, seen := range j.runs[end.task] {
-		if seen.runner == r.id && seen.number == end.run {
+		if seen.runner == r.id && seen.number == end.run && !end.lapsed {
 			seen.noted = true
 		}
 	}
@@ -123,3 +124,92 @@
 	}
 	return ""
 }
+
+// hasDone reports whether a run of a task has ended as done.
+func (j *judge) hasDone(task string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, seen := range j.runs[task] {
+		if seen.how == "done" {
+			return true
+		}
+	}
+	return false
+}
+
+// checkTask returns a description of the first rule that the runs of a task break, or nothing.
+func (j *judge) checkTask(name string, job *playedJob, s *search) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var id string
+	var occurrence, step, index int
+	fields := strings.Split(name, ".")
+	id = fields[0]
+	if _, err := fmt.Sscan(strings.Join(fields[1:], " "), &occurrence, &step, &index); err != nil {
+		return "a task has the name " + name
+	}
+	spec := job.steps[step]
+	for at, seen := range j.runs[name] {
+		failed := 0
+		for _, before := range j.runs[name][:at] {
+			if before.how == "failed" && before.noted && before.over.Before(seen.began) {
+				failed++
+			}
+		}
+		if failed >= job.queue.attempts && !job.lasting {
+			return fmt.Sprintf("BUDGET %s run %d starts after %d failed runs", name, seen.number, failed)
+		}
+		if label, ok := spec["required_label"]; ok && label != seen.kind {
+			return fmt.Sprintf("ROUTE %s run %d is on kind %s", name, seen.number, seen.kind)
+		}
+		if due := job.startAt + int64(occurrence*job.period); job.times > 1 && seen.began.UnixMilli() < due-250 {
+			return fmt.Sprintf("ORDER %s run %d starts %d ms early", name, seen.number, due-seen.began.UnixMilli())
+		}
+		if !job.cancelAt.IsZero() && seen.began.After(job.cancelAt.Add(cancelTime)) {
+			return fmt.Sprintf("UNASKED %s run %d starts %s after its cancelling", name, seen.number, seen.began.Sub(job.cancelAt))
+		}
+		if after, ok := spec["after"]; ok {
+			for _, earlier := range after.([]int) {
+				for other := range job.steps[earlier]["count"].(int) {
+					done := false
+					for _, run := range j.runs[fmt.Sprintf("%s.%d.%d.%d", id, occurrence, earlier, other)] {
+						done = done || run.how == "done" && !run.over.After(seen.began)
+					}
+					if !done {
+						return fmt.Sprintf("ORDER %s run %d starts before task %d of step %d is done", name, seen.number, other, earlier)
+					}
+				}
+			}
+		}
+		if limit, ok := spec["anti_affinity"]; ok {
+			count := 0
+			for other := range spec["count"].(int) {
+				for _, run := range j.runs[fmt.Sprintf("%s.%d.%d.%d", id, occurrence, step, other)] {
+					if run.runner == seen.runner && !run.began.After(seen.began) && (run.over.IsZero() || run.over.After(seen.began)) {
+						count++
+					}
+				}
+			}
+			if count > limit.(int) {
+				return fmt.Sprintf("ROUTE %s run %d is one of %d on %s, %d are allowed", name, seen.number, count, seen.runner, limit)
+			}
+		}
+	}
+	return ""
+}
+
+// idleFor returns for how long a task has had no run; zero while it runs.
+func (j *judge) idleFor(task string) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	last := j.events.began
+	for _, seen := range j.runs[task] {
+		if seen.over.IsZero() {
+			return 0
+		}
+		if seen.over.After(last) {
+			last = seen.over
+		}
+	}
+	return time.Since(last)
+}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -23,6 +23,7 @@
 	"losses":    lossesCase,
 	"record":    recordCase,
 	"late-copy": lateCopyCase,
+	"search":    exploreCase,
 }
 
 func main() {
--- a/review/harness-3/runner.go
+++ b/review/harness-3/runner.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,6 +36,7 @@
 	lives  int
 	keepID bool // restarts keep the ID, as on the newer deployments
 	kind   string
+	cut    bool // cut off from all others
 	// hold returns how long an order stays on the way before it arrives; nil for none.
 	hold func(path string, body []byte) time.Duration
 }
@@ -76,6 +78,7 @@
 	task       string
 	run        int
 	how, saved string
+	lapsed     bool // the lease lapsed since
 }
 
 type order struct {
@@ -111,6 +114,9 @@
 	m.addr = listener.Addr().String()
 	m.server = &http.Server{Handler: m}
 	go m.server.Serve(listener)
+	if f.mixedKinds && index%2 == 1 {
+		m.kind = "b"
+	}
 	f.machines = append(f.machines, m)
 	m.start()
 	go m.beat()
@@ -139,12 +145,38 @@
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for range ticker.C {
-		if life := m.current(); life != nil {
+		if life := m.current(); life != nil && !m.isCut() {
 			m.fleet.register(life)
 		}
 	}
 }
 
+func (m *machine) isCut() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cut
+}
+
+// setCut cuts a machine off from all others, or heals the cut.
+func (m *machine) setCut(cut bool) {
+	m.mu.Lock()
+	m.cut = cut
+	life := m.life
+	m.mu.Unlock()
+	if life == nil {
+		return
+	}
+	if !cut {
+		m.fleet.register(life)
+		return
+	}
+	time.AfterFunc(entryTimeout, func() {
+		if m.isCut() {
+			m.fleet.store.put("keyed.servers", life.id, nil)
+		}
+	})
+}
+
 func (m *machine) current() *runner {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -239,6 +271,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if m.isCut() {
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	life := m.current()
 	if life == nil {
 		panic(http.ErrAbortHandler) // nobody is there
@@ -255,6 +291,10 @@
 		life.awaitEnd(request, &o)
 		answer = life.lists()
 	}
+	if m.isCut() {
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if answer == nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -287,6 +327,12 @@
 		if r.until <= r.clock() {
 			return refuse("late")
 		}
+		if strings.HasPrefix(o.Ticket, "1") {
+			parts := strings.Split(o.Ticket, "|")
+			if number(parts[0]) < time.Now().UnixMilli() || parts[2] != r.id || !strings.HasPrefix(o.Task, parts[1]+".") {
+				return refuse("ticket")
+			}
+		}
 		need := option(o.Spec, "cpu", 1000)
 		if r.used+need > r.machine.fleet.capacity {
 			return refuse("room")
@@ -336,6 +382,9 @@
 	r.mu.Lock()
 	var over []*taskRun
 	if !r.gone && r.clock() >= r.until {
+		for at := range r.ends {
+			r.ends[at].lapsed = true
+		}
 		for _, run := range r.runs {
 			over = append(over, run)
 		}
@@ -355,12 +404,15 @@
 		work = option(o.Spec, "short", work) // every tenth task is a short one
 	}
 	how := "done"
-	if strings.Contains(o.Spec, "fails") {
+	if rand.Int63n(100) < option(o.Spec, "failshare", 0) {
 		how = "failed"
 	}
 	run.timer = time.AfterFunc(time.Duration(work)*time.Millisecond, func() { r.finish(run, how) })
 	if strings.Contains(o.Spec, "lasting") {
 		run.timer.Stop()
+		if life := option(o.Spec, "failsafter", 0); life > 0 {
+			run.timer = time.AfterFunc(time.Duration(life)*time.Millisecond, func() { r.finish(run, "failed") })
+		}
 	}
 	r.machine.fleet.judge.started(r, run)
 }
