Stop late starts at every incarnation that may receive them

The first copy of a start got no answer, the second did; the worker restarted under its ID; the first copy was carried out there 8 s after it was sent, beside the task's next run elsewhere.

Cause: MaxOrderDelay, 3 s, was one figure for three purposes, while the platform carries such orders out 2 to 12 s later. After 3 s the record of the open start was dropped and the run counted as lost with its incarnation, so the next one got no stop.

Change: starts without an answer are stopped for 30 s at each other incarnation of their worker, from its first answer of any kind and until it acknowledges the stop; the task's next run waits for that where the run was on record. The bounds of the two tests of leases are the same 3 s under the new name maxLeaseOrderDelay.

Evidence: the new property delivers late orders to whichever incarnation is there. The two directed tests fail on the code before.

--- a/placing/answerorigin.go
+++ b/placing/answerorigin.go
@@ -30,7 +30,9 @@
 }
 
 // onlyAtItsNode reports whether a run is, or was, at the incarnation to which its start was sent, and no
-// copy of the start is under way.
+// copy of the start is under way. Otherwise it is stopped at the next incarnation before its task runs
+// again, which takes no longer than the answers.
 func (r *run) onlyAtItsNode(now time.Time) bool {
-	return r.reachedItsNode() && !r.awaitsAnswer && !now.Before(r.copiesArriveUntil)
+	copied := !r.copiesGivenUpAt.IsZero() && now.Sub(r.copiesGivenUpAt) <= openStartRetention
+	return r.reachedItsNode() && !r.awaitsAnswer && !copied
 }
--- a/placing/incarnation.go
+++ b/placing/incarnation.go
@@ -119,7 +119,8 @@
 	}
 	e.markSilent(former, now) // what it has not confirmed is known by AckUnanswered
 	e.replaceIncarnation(former, later, now)
-	return later.entry, len(later.runs) > 0 && !later.listed
+	e.stopOpenStarts(later, now)
+	return later.entry, (len(later.runs) > 0 || len(later.openStops) > 0) && !later.listed
 }
 
 // handleAnswer replaces the incarnations of a worker that began before the one that has
--- a/placing/job.go
+++ b/placing/job.go
@@ -82,33 +82,33 @@
 // run is one run of a task, from its placement until it is certain that it
 // neither runs nor will.
 type run struct {
-	task              *task
-	number            int
-	node              *node
-	phase             phase
-	orderedAt         time.Time
-	awaitsAnswer      bool // its start was ordered and not answered yet
-	startOrigin       AnswerOrigin
-	copiesArriveUntil time.Time // until when unanswered copies of its start may arrive
-	startedAt         time.Time // when the worker was known to have it
-	percent           int
-	percentAt         time.Time // when percent last grew
-	reportedAt        time.Time // of the newest report that showed it
-	resumed           bool      // from a checkpoint, or under a former leader
-	basePercent       int       // of a resumed run, as first reported
-	basePercentAt     time.Time // when basePercent was reported
-	stoppedAt         time.Time // when its stop was first sent
-	stopSentAt        time.Time // when its stop was last sent
-	stopDoneAt        time.Time // when the worker acknowledged the stop
-	stopReason        string
-	seen              bool // listed in a report of the worker
-	throttled         bool // works at pacePercent, of a hundred
-	pacePercent       int
-	paceSentAt        time.Time
-	speedCompared     bool // its progress was compared with its siblings'
-	unconfirmed       bool // restored from the log; its worker has not reported yet
-	workerRestarted   bool // restored from the log; its worker has restarted since
-	isolated          bool // its worker gets nothing else, as the task is suspect
+	task            *task
+	number          int
+	node            *node
+	phase           phase
+	orderedAt       time.Time
+	awaitsAnswer    bool // its start was ordered and not answered yet
+	startOrigin     AnswerOrigin
+	copiesGivenUpAt time.Time // when copies of its start were given up without an answer; zero for none
+	startedAt       time.Time // when the worker was known to have it
+	percent         int
+	percentAt       time.Time // when percent last grew
+	reportedAt      time.Time // of the newest report that showed it
+	resumed         bool      // from a checkpoint, or under a former leader
+	basePercent     int       // of a resumed run, as first reported
+	basePercentAt   time.Time // when basePercent was reported
+	stoppedAt       time.Time // when its stop was first sent
+	stopSentAt      time.Time // when its stop was last sent
+	stopDoneAt      time.Time // when the worker acknowledged the stop
+	stopReason      string
+	seen            bool // listed in a report of the worker
+	throttled       bool // works at pacePercent, of a hundred
+	pacePercent     int
+	paceSentAt      time.Time
+	speedCompared   bool // its progress was compared with its siblings'
+	unconfirmed     bool // restored from the log; its worker has not reported yet
+	workerRestarted bool // restored from the log; its worker has restarted since
+	isolated        bool // its worker gets nothing else, as the task is suspect
 }
 
 func newJob(submission *jobs.Submission, queue jobs.Queue, now time.Time, nowMS int64) *job {
--- a/placing/node.go
+++ b/placing/node.go
@@ -38,6 +38,8 @@
 	strayLeasesExpireAt    time.Time // when leases of orders to other incarnations have expired that this one may have carried out
 	strayAcksArriveUntil   time.Time // until when acknowledgements for other incarnations may arrive here
 	sentAcks               sentAcks
+	openStartsStopped      bool           // starts for other incarnations were stopped here
+	openStops              []openStop     // not acknowledged yet
 	runs                   []*run         // that may be there
 	used                   jobs.Resources // by runs
 	at                     int            // index in the view of the present pass
@@ -160,12 +162,12 @@
 	return present
 }
 
-// removeNodes removes nodes that are neither listed nor have runs. Until all jobs are known, a run that
+// removeNodes removes nodes that are neither listed nor have runs, or starts to be stopped. Until all jobs are known, a run that
 // a node has reported may turn out to be one of theirs.
 func (e *Engine) removeNodes(now time.Time) {
 	remaining := e.nodeOrder[:0]
 	for _, n := range e.nodeOrder {
-		if n.listed || len(n.runs) > 0 || n.unknownRuns > 0 && !e.jobsComplete {
+		if n.listed || len(n.runs) > 0 || len(n.openStops) > 0 || n.unknownRuns > 0 && !e.jobsComplete {
 			remaining = append(remaining, n)
 			continue
 		}
--- a/placing/report.go
+++ b/placing/report.go
@@ -19,8 +19,8 @@
 		return
 	}
 	e.handleAnswer(n, now)
+	e.stopOpenStarts(n, now)
 	if !n.reported {
-		e.stopOpenStarts(n, now)
 		e.plan.LogEvents = append(e.plan.LogEvents, LogEvent{Event: "worker_reported", Worker: worker,
 			Detail: "running " + strconv.Itoa(len(running)) + " ended " + strconv.Itoa(len(ended))})
 	}
--- a/placing/runs.go
+++ b/placing/runs.go
@@ -196,7 +196,12 @@
 // StopAcknowledged records that a worker acknowledged a stop. From then on the run cannot start
 // there, and the worker's next report shows whether it had started.
 func (e *Engine) StopAcknowledged(worker string, key jobs.TaskKey, number int, now time.Time) {
-	if run := e.findRun(worker, key, number); run != nil && run.stopDoneAt.IsZero() {
+	n := e.nodes[worker]
+	if n == nil {
+		return
+	}
+	n.acknowledgeOpenStop(key, number)
+	if run := n.findRun(key, number); run != nil && run.stopDoneAt.IsZero() {
 		run.stopDoneAt = now
 	}
 }
@@ -204,6 +209,9 @@
 // endRun removes a run that certainly neither runs nor will. Its task may run again, as may its
 // whole gang once the runs of all members are over.
 func (e *Engine) endRun(run *run, reason string, now time.Time) {
+	if run.awaitsAnswer {
+		e.expectCopies(run.node, run.task.key, run.number, now)
+	}
 	run.node.removeRun(run)
 	e.recordStopDelay(run, now)
 	task := run.task
@@ -238,6 +246,7 @@
 // retryStops sends unanswered stops again.
 func (e *Engine) retryStops(now time.Time) {
 	for _, n := range e.nodeOrder {
+		e.retryOpenStops(n, now)
 		for _, run := range n.runs {
 			unanswered := !run.stopSentAt.IsZero() && run.stopDoneAt.IsZero()
 			if unanswered && now.Sub(run.stopSentAt) > stopRetryInterval {
--- a/placing/sim_orders_test.go
+++ b/placing/sim_orders_test.go
@@ -9,6 +9,11 @@
 // sendOrder delivers an order to the current incarnation of a worker and returns its answer;
 // lost means that no answer arrived, whether or not the order was carried out.
 func (s *simulation) sendOrder(name string, order func(worker *modelWorker) bool, answer func(done, lost bool)) {
+	if s.strayOrders != nil && s.chance(s.strayOrders.percent) {
+		s.strayOrders.send(s, name, order)
+		s.schedule(700*time.Millisecond, func() { answer(false, true) })
+		return
+	}
 	lost := s.chance(6)
 	if lost {
 		s.recordFault()
@@ -63,6 +68,9 @@
 	until := l.leaseUntil[id]
 	origin := OriginUnknown
 	s.sendOrder(s.findWorker(id).entry.Name, func(worker *modelWorker) bool {
+		if s.strayOrders.cannotBePrevented(s, worker, l.epoch, startedRun{start.Task, start.Run}) {
+			return false
+		}
 		if worker.entry.ID != id && !until.IsZero() {
 			// The lease is far in the future on the clock of another incarnation, so it is
 			// shortened.
@@ -166,6 +174,7 @@
 		}
 		worker.fence = l.epoch
 		worker.highestEndedRun[stop.Task] = max(worker.highestEndedRun[stop.Task], stop.Run)
+		s.strayOrders.settle(startedRun{stop.Task, stop.Run})
 		if run := worker.running[stop.Task]; run != nil && run.number == stop.Run {
 			s.schedule(time.Duration(s.rng.IntN(300))*time.Millisecond, func() { s.endRun(worker, run, EndStopped) })
 		}
--- a/placing/sim_test.go
+++ b/placing/sim_test.go
@@ -41,6 +41,7 @@
 	listInterval   time.Duration               // time between two reads of the worker list by the leader
 	delays         *idleDelayCheck             // nil: start delays are not checked
 	handover       *leaseHandover              // nil: each leader waits for all former leases anew
+	strayOrders    *strayOrderModel            // nil: a late order is lost with the incarnation that it had reached
 	violations     []string
 }
 
--- a/placing/sim_workers_test.go
+++ b/placing/sim_workers_test.go
@@ -36,6 +36,11 @@
 			return false
 		}
 		worker.fence = l.epoch
+		if s.strayOrders.carryingOut() {
+			s.carryOutStrayPoll(worker, id, until, ack)
+			return true
+		}
+		s.strayOrders.recordAnswer(s, worker, l.epoch)
 		if worker.entry.ID != id {
 			if !until.IsZero() {
 				worker.leaseUntil = laterTime(worker.leaseUntil, s.now.Add(testLimits.MaxLease)) // as for a start
@@ -63,6 +68,9 @@
 		return true
 	}, func(_, lost bool) {
 		if lost {
+			if s.strayOrders != nil && ack > 0 {
+				l.engine.AckUnanswered(id, s.now)
+			}
 			l.answered[id] = false
 			l.engine.WorkerUnreachable(id, l.leaseExpiresAt[id], s.now)
 		}
@@ -99,6 +107,7 @@
 		return
 	}
 	delete(worker.running, run.key)
+	s.strayOrders.settle(startedRun{run.key, run.number})
 	worker.highestEndedRun[run.key] = max(worker.highestEndedRun[run.key], run.number)
 	worker.lastEndNumber++
 	worker.endTimes[worker.lastEndNumber] = s.now
--- a/placing/strayorders_test.go
+++ b/placing/strayorders_test.go
@@ -81,7 +81,7 @@
 	e.Report(other.ID, replacedAt, nil, nil, time.Time{}, replacedAt)
 	e.Decide(replacedAt.Add(LeaseExpiry(testLimits.MaxLease)))
 	is.Equal(currentRun(e, key), 1)
-	e.Decide(replacedAt.Add(MaxOrderDelay + LeaseExpiry(testLimits.MaxLease)))
+	e.Decide(replacedAt.Add(maxLeaseOrderDelay + LeaseExpiry(testLimits.MaxLease)))
 	is.True(currentRun(e, key) != 1)
 }
 
@@ -106,7 +106,7 @@
 	e.WorkerUnreachable(later.ID, listedAt.Add(LeaseExpiry(testLimits.MaxLease)), listedAt.Add(time.Second))
 	e.UpdateWorkers([]WorkerEntry{other}, listedAt)
 	e.Report(other.ID, listedAt, nil, nil, time.Time{}, listedAt)
-	overAt := testStart.Add(MaxOrderDelay + LeaseExpiry(testLimits.MaxLease))
+	overAt := testStart.Add(maxLeaseOrderDelay + LeaseExpiry(testLimits.MaxLease))
 	e.Decide(overAt.Add(-time.Millisecond))
 	is.Equal(currentRun(e, key), 1)
 	e.Decide(overAt)
@@ -162,3 +162,58 @@
 	e.ReplaceIncarnation(first.ID, 200, now)
 	is.Equal(e.jobs[key.Job].task(key).losses.total, 1)
 }
+
+// runsStoppedAt returns the runs of a task that a plan stops at a worker.
+func runsStoppedAt(plan Plan, worker string, key jobs.TaskKey) []int {
+	var runs []int
+	for _, stop := range plan.Stops {
+		if stop.Worker == worker && stop.Task == key {
+			runs = append(runs, stop.Run)
+		}
+	}
+	return runs
+}
+
+// Guards against a copy of a start that arrives at the next incarnation more than three seconds after it was given up,
+// beside the next run of its task.
+func TestNextRunWaitsUntilNextIncarnationRefusesCopyOfStart(t *testing.T) {
+	is := is.New(t)
+	first, later, other := incarnationEntry("w1", 100), incarnationEntry("w1", 200), incarnationEntry("w2", 100)
+	e, key := engineWithStart(first)
+	e.SetStartOrigin(first.ID, key, 1, OriginOwnCopy)
+	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
+	restartedAt := testStart.Add(5 * time.Second)
+	e.UpdateWorkers([]WorkerEntry{later, other}, restartedAt)
+	e.Report(other.ID, restartedAt, nil, nil, time.Time{}, restartedAt)
+	e.Report(later.ID, restartedAt, nil, nil, time.Time{}, restartedAt)
+	is.Equal(runsStoppedAt(e.Decide(restartedAt), later.ID, key), []int{1})
+	is.Equal(currentRun(e, key), 1)
+	e.StopAcknowledged(later.ID, key, 1, restartedAt)
+	reportedAt := restartedAt.Add(time.Millisecond)
+	e.Report(later.ID, reportedAt, nil, nil, time.Time{}, reportedAt)
+	e.Decide(reportedAt)
+	is.True(currentRun(e, key) != 1)
+}
+
+// Guards against a start of a run that has ended since and arrives after two restarts of its worker: its stops are lost,
+// or sent to the first of the next incarnations only.
+func TestStartOfEndedRunIsStoppedAtEachIncarnation(t *testing.T) {
+	is := is.New(t)
+	first := incarnationEntry("w1", 100)
+	e, key := engineWithStart(first)
+	e.SetStartOrigin(first.ID, key, 1, OriginOwnCopy)
+	e.StartAnswered(first.ID, key, 1, StartAccepted, testStart)
+	e.Report(first.ID, testStart, nil, []EndedTask{{Number: 1, Task: key, Run: 1, Kind: EndDone}}, time.Time{}, testStart)
+	is.Equal(currentRun(e, key), 0)
+	for bornMS := int64(200); bornMS <= 300; bornMS += 100 {
+		now := testStart.Add(time.Duration(bornMS) * 20 * time.Millisecond)
+		later := incarnationEntry("w1", bornMS)
+		e.UpdateWorkers([]WorkerEntry{later}, now)
+		e.Report(later.ID, now, nil, nil, time.Time{}, now)
+		is.Equal(runsStoppedAt(e.Decide(now), later.ID, key), []int{1})
+		again := now.Add(stopRetryInterval + time.Millisecond)
+		is.Equal(runsStoppedAt(e.Decide(again), later.ID, key), []int{1})
+		e.StopAcknowledged(later.ID, key, 1, again)
+		is.Equal(len(runsStoppedAt(e.Decide(again.Add(2*stopRetryInterval)), later.ID, key)), 0)
+	}
+}
