Confirm acknowledgements of ends at once where workers restart under their IDs

Change: such a poll asks for no wait where the platform states incarnations. The next poll waits as before.

Evidence: TestAckIsConfirmedAtOnceWhereWorkersRestartUnderTheirNames fails without it.

--- a/batch/link.go
+++ b/batch/link.go
@@ -142,7 +142,8 @@
 	}
 	sent := l.env.clock.Now()
 	order := HoldOrder{LeaseUntilMS: l.leaseForHold(sent), Epoch: l.env.epoch, Wait: wait}
-	if !l.attachAck(sent, &order) {
+	if !l.attachAck(sent, &order) || order.Ack > 0 && l.worker().BornMS != 0 {
+		// The next incarnation of a worker gets no work while an acknowledgement is unconfirmed.
 		order.Wait = 0
 	}
 	call := holdCall{sent: sent, order: order}
--- a/batch/nextincarnation_test.go
+++ b/batch/nextincarnation_test.go
@@ -110,6 +110,28 @@
 	})
 }
 
+// Guards against restarted workers that get no work for long, as an acknowledgement that had arrived was not confirmed
+// before the wait of its hold was over.
+func TestAckIsConfirmedAtOnceWhereWorkersRestartUnderTheirNames(t *testing.T) {
+	for bornMS, wait := range map[int64]time.Duration{0: holdWait, 7: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			link, _, _ := scriptedLink(accept)
+			link.entry.BornMS = bornMS
+			_, _, err := link.hold(t.Context(), holdWait)
+			is.NoErr(err)
+			link.acknowledge(5)
+			_, call, err := link.hold(t.Context(), holdWait)
+			is.NoErr(err)
+			is.Equal(call.order.Ack, int64(5))
+			is.Equal(call.order.Wait, wait)
+			_, call, err = link.hold(t.Context(), holdWait)
+			is.NoErr(err)
+			is.Equal(call.order.Wait, holdWait)
+		})
+	}
+}
+
 // Guards against an answer of the next incarnation that is taken for one of the former, and against sound
 // answers on a congested link that are not taken for what they are.
 func TestClockTellsIncarnationsApart(t *testing.T) {
