Build the tasks of an occurrence when it is due, and bound what is open

Cause: a leader built every occurrence, step and task of a job when it read it, 0.7 KB for each occurrence however far in the future, and nothing bounded the sum.

Change: an occurrence is opened when it is due, by a record or by an answer about one of its tasks, and closed once it is done and has no runs. What is open takes at most a quarter of the leader's memory; further occurrences wait by priority and due time, a quarter of the bound is kept for priority 0. The progress record is unchanged.

Tests name occurrences by number now, as only open ones are in memory; their checks are the same.

--- a/batch/bounds.go
+++ b/batch/bounds.go
@@ -22,8 +22,14 @@
 	// VisibilityTimeout is the time within which every instance knows of an accepted job; 0 if no
 	// bound is set.
 	VisibilityTimeout time.Duration
+	// MemoryBytes is the memory limit of the process; 0 for none.
+	MemoryBytes int64
 }
 
+// openTasksShare is the part of its memory that a leader uses for tasks that are due and not done. The rest is for
+// accepted jobs, callers' requests, the workers and the runtime.
+const openTasksShare = 0.25
+
 // boundsPropagationTime is how long after a change here other instances may still use the previous
 // bounds: instances read their settings at different times.
 const boundsPropagationTime = 30 * time.Second
@@ -100,6 +106,7 @@
 		ReclaimTimeout:      current.ReclaimTimeout,
 		EndedJobRetention:   current.EndedJobRetention,
 		EvacuationTimeout:   current.EvacuationTimeout,
+		MaxOpenBytes:        int64(openTasksShare * float64(current.MemoryBytes)),
 		LostLeaderTimeout:   leaderGiveUpTimeout,
 		ReleasedTermTimeout: handOverTimeout,
 		// A delegate may dispatch to workers for an ended leader until its grant expires.
--- a/placing/delay_log_test.go
+++ b/placing/delay_log_test.go
@@ -61,7 +61,7 @@
 	c.engine.UpdateWorkers(entries, c.now)
 	overdue := time.Duration(0)
 	for overdue == 0 && c.now.Sub(testStart) < 10*time.Second {
-		c.engine.jobs[job.ID].occurrences[0].steps[0].observedReadyAt = c.now // as for a leader whose workers have yet to report
+		c.engine.jobs[job.ID].occurrence(0).steps[0].observedReadyAt = c.now // as for a leader whose workers have yet to report
 		if len(jobEventDetails(c.step(), "start_overdue", job.ID)) > 0 {
 			overdue = c.now.Sub(testStart)
 		}
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -65,6 +65,8 @@
 	pathScratch          []time.Duration // buffer of criticalPath
 	unitScratch          []unit          // buffer of waitingUnits, as is units
 	units                []*unit
+	openBytes            int64 // what the open occurrences take, as of the last pass
+	unopenedJobs         int   // with an occurrence that is due and not open, as of the last pass
 }
 
 // New returns an engine for one term. wallMS converts a time of the clock that the
@@ -240,11 +242,11 @@
 	job.reservation = nil
 	e.markDirty(job)
 	e.logEvent("job_ended", job, "", string(state)+" "+reason+" age_ms "+strconv.FormatInt(now.Sub(job.acceptedAt).Milliseconds(), 10)+
-		" objective_ms "+strconv.FormatInt(e.objective(job, job.occurrences[0]).Milliseconds(), 10)+" "+job.stops.String())
+		" objective_ms "+strconv.FormatInt(e.objective(job).Milliseconds(), 10)+" "+job.stops.String())
 	if state == jobs.StateDone {
 		return // runs that are left belong to gangs that are ending
 	}
-	for _, task := range job.allTasks() {
+	for _, task := range job.openTasks() {
 		if task.run != nil {
 			e.stopRun(task.run, "job "+string(state), now)
 		}
@@ -283,7 +285,9 @@
 func (e *Engine) removeFinishedJobs(now time.Time) {
 	unfinished := e.active[:0]
 	for _, job := range e.active {
-		if !job.state.Final() {
+		if job.state.Final() {
+			job.closeOccurrences()
+		} else {
 			unfinished = append(unfinished, job)
 		}
 	}
@@ -294,6 +298,9 @@
 	}
 	for _, id := range e.sortedJobs() {
 		job := e.jobs[id]
+		if job.state.Final() {
+			job.closeOccurrences() // runs may have been left when it ended
+		}
 		if job.state.Final() && now.Sub(job.endedAt) > e.limits.EndedJobRetention+retentionMargin && !job.dirty && !e.recordsInFlight {
 			e.plan.ExpiredJobs = append(e.plan.ExpiredJobs, id)
 			delete(e.jobs, id)
--- a/placing/estimate.go
+++ b/placing/estimate.go
@@ -48,9 +48,9 @@
 	return estimated
 }
 
-// criticalPath returns the length of the longest chain of steps in expected run time:
-// of the unfinished steps if unfinishedOnly is set, else of all.
-func (e *Engine) criticalPath(job *job, occurrence *occurrence, unfinishedOnly bool) time.Duration {
+// criticalPath returns the length of the longest chain of unfinished steps of an occurrence in expected run
+// time; nil stands for one of which nothing is done.
+func (e *Engine) criticalPath(job *job, occurrence *occurrence) time.Duration {
 	longest := time.Duration(0)
 	finish := e.pathScratch[:0]
 	for index := range job.submission.Steps {
@@ -59,7 +59,7 @@
 			begin = max(begin, finish[earlier])
 		}
 		finish = append(finish, begin)
-		if !unfinishedOnly || occurrence.steps[index].remainingTasks > 0 {
+		if occurrence == nil || occurrence.steps[index].remainingTasks > 0 {
 			finish[index] += e.expectedRuntime(job, index)
 		}
 		longest = max(longest, finish[index])
--- a/placing/evacuation_test.go
+++ b/placing/evacuation_test.go
@@ -184,7 +184,7 @@
 	e.StartAnswered(start.Worker, start.Task, start.Run, StartEvacuated, testStart) // a delegate learned of it before the leader
 	e.SetEvacuatedZones([]string{"z1"}, testStart)
 	is.Equal(startsByZone(decideFor(e, testStart.Add(50*time.Millisecond), 200*time.Millisecond)), map[string]int{"b": 1})
-	is.Equal(e.jobs[start.Task.Job].occurrences[0].steps[0].tasks[0].startBackoff.failures, 0)
+	is.Equal(e.jobs[start.Task.Job].occurrence(0).steps[0].tasks[0].startBackoff.failures, 0)
 }
 
 // fillWorkers fills all workers with low-priority work, one task each.
--- a/placing/extreme_numbers_test.go
+++ b/placing/extreme_numbers_test.go
@@ -152,7 +152,7 @@
 		}
 	}
 	for _, job := range engine.active {
-		if job.accelerators() < 0 || engine.objective(job, job.occurrences[0]) < 0 || lateFactor*engine.objective(job, job.occurrences[0]) < 0 {
+		if job.accelerators() < 0 || engine.objective(job) < 0 || lateFactor*engine.objective(job) < 0 {
 			t.Fatalf("a sum over the steps of %s is negative", job.submission.ID)
 		}
 	}
--- a/placing/job.go
+++ b/placing/job.go
@@ -19,17 +19,14 @@
 	endedMS       int64
 	readyMS       int64 // time of day when the newest step became ready that had waited for other steps
 	dirty         bool
-	occurrences   []*occurrence
 	reservation   *reservation // capacity set aside while victims are stopped for this job
 	stops         stopCount
-}
 
-// occurrence is one execution of the steps of a job.
-type occurrence struct {
-	scheduledMS     int64 // time of day; 0: at once
-	steps           []*step
-	remainingTasks  int  // tasks not done
-	missesObjective bool // its newest estimate was late, see late_work.go
+	occurrences          []*occurrence // open ones, by number
+	nextOccurrence       int           // lowest that was not opened by its time
+	doneOccurrences      jobs.Bits
+	remainingOccurrences int // not done
+	tasksPerOccurrence   int
 }
 
 // step is one step of an occurrence. The tasks of a gang are placed and ended together, and
@@ -118,50 +115,27 @@
 	}
 	job := &job{submission: submission, queue: queue, state: jobs.StateQueued, recordedState: jobs.StateQueued, acceptedAt: now.Add(-age)}
 	job.acceptedMS = nowMS - age.Milliseconds()
-	for index := range submission.OccurrenceCount() {
-		job.occurrences = append(job.occurrences, newOccurrence(job, index))
-	}
+	job.remainingOccurrences = submission.OccurrenceCount()
+	job.tasksPerOccurrence = submission.TasksPerOccurrence()
 	return job
 }
 
-// newOccurrence returns an occurrence of a job with no task done.
-func newOccurrence(job *job, number int) *occurrence {
-	submission := job.submission
-	occurrence := &occurrence{remainingTasks: submission.TasksPerOccurrence()}
-	if submission.Occurrences > 0 {
-		occurrence.scheduledMS = min(jobs.MaxTimeMS, submission.FirstAtMS+int64(number)*submission.PeriodMS)
-	}
-	for stepIndex := range submission.Steps {
-		spec := &submission.Steps[stepIndex]
-		step := &step{job: job, spec: spec, remainingTasks: spec.Tasks}
-		for index := range spec.Tasks {
-			key := jobs.TaskKey{Job: submission.ID, Occurrence: number, Step: stepIndex, Index: index}
-			step.tasks = append(step.tasks, &task{step: step, key: key})
-		}
-		occurrence.steps = append(occurrence.steps, step)
-	}
-	return occurrence
-}
-
 // task returns the task with a key, or nil if the job has none.
 func (j *job) task(key jobs.TaskKey) *task {
-	if key.Occurrence < 0 || key.Occurrence >= len(j.occurrences) || key.Step < 0 || key.Step >= len(j.submission.Steps) {
+	if key.Occurrence < 0 || key.Occurrence >= j.submission.OccurrenceCount() || key.Step < 0 || key.Step >= len(j.submission.Steps) {
 		return nil
 	}
-	tasks := j.occurrences[key.Occurrence].steps[key.Step].tasks
-	if key.Index < 0 || key.Index >= len(tasks) {
+	if key.Index < 0 || key.Index >= j.submission.Steps[key.Step].Tasks {
 		return nil
 	}
-	return tasks[key.Index]
+	return j.occurrence(key.Occurrence).steps[key.Step].tasks[key.Index]
 }
 
-// allTasks lists the tasks of all occurrences in the order of the progress record.
-func (j *job) allTasks() []*task {
+// openTasks lists the tasks of the open occurrences in the order of the progress record.
+func (j *job) openTasks() []*task {
 	var list []*task
 	for _, occurrence := range j.occurrences {
-		for _, step := range occurrence.steps {
-			list = append(list, step.tasks...)
-		}
+		list = append(list, occurrence.tasks()...)
 	}
 	return list
 }
@@ -186,23 +160,38 @@
 
 // recordTasks adds the tasks that are done or have had a run to a progress record.
 func (j *job) recordTasks(progress *jobs.Progress) {
-	for flat, task := range j.allTasks() {
-		if task.done {
-			progress.Done.Set(flat)
+	for number := range j.submission.OccurrenceCount() {
+		if !j.doneOccurrences.Has(number) {
 			continue
 		}
-		if task.lastRun == 0 {
-			continue
+		for offset := range j.tasksPerOccurrence {
+			progress.Done.Set(number*j.tasksPerOccurrence + offset)
 		}
-		recorded := jobs.TaskProgress{Flat: flat, Run: task.lastRun, Failed: task.failedRuns, Judged: task.lastEndedRun, Checkpoint: task.checkpoint,
-			Losses: task.losses.total, EarlyLosses: task.losses.early}
-		if task.run != nil {
-			recorded.Worker, recorded.BornMS = task.run.node.recordedName()
+	}
+	for _, occurrence := range j.occurrences {
+		for offset, task := range occurrence.tasks() {
+			task.record(j.flat(occurrence, offset), progress)
 		}
-		progress.Tasks = append(progress.Tasks, recorded)
 	}
 }
 
+// record adds a task to a progress record if it is done or has had a run.
+func (t *task) record(flat int, progress *jobs.Progress) {
+	if t.done {
+		progress.Done.Set(flat)
+		return
+	}
+	if t.lastRun == 0 {
+		return
+	}
+	recorded := jobs.TaskProgress{Flat: flat, Run: t.lastRun, Failed: t.failedRuns, Judged: t.lastEndedRun, Checkpoint: t.checkpoint,
+		Losses: t.losses.total, EarlyLosses: t.losses.early}
+	if t.run != nil {
+		recorded.Worker, recorded.BornMS = t.run.node.recordedName()
+	}
+	progress.Tasks = append(progress.Tasks, recorded)
+}
+
 // restoreJob restores a job from the log. A former leader may have written only its
 // progress or only its final state: then the other is written too.
 func (e *Engine) restoreJob(job *job, stored *jobs.Job, now time.Time) {
@@ -249,15 +238,11 @@
 		return
 	}
 	job.readyMS = progress.ReadyMS
-	tasks := job.allTasks()
-	for flat, task := range tasks {
-		if progress.Done.Has(flat) {
-			e.markDone(task)
-		}
-	}
+	e.restoreDone(job, progress.Done)
 	for _, recorded := range progress.Tasks {
-		if recorded.Flat >= 0 && recorded.Flat < len(tasks) {
-			e.restoreTask(tasks[recorded.Flat], recorded, leaseExpiry)
+		if recorded.Flat >= 0 && recorded.Flat < job.tasksPerOccurrence*job.submission.OccurrenceCount() {
+			occurrence := job.occurrence(recorded.Flat / job.tasksPerOccurrence)
+			e.restoreTask(occurrence.taskAt(recorded.Flat%job.tasksPerOccurrence), recorded, leaseExpiry)
 		}
 	}
 }
@@ -288,7 +273,12 @@
 	}
 	task.done = true
 	task.step.remainingTasks--
-	task.step.job.occurrences[task.key.Occurrence].remainingTasks--
+	job := task.step.job
+	occurrence := job.occurrence(task.key.Occurrence)
+	occurrence.remainingTasks--
+	if occurrence.remainingTasks == 0 {
+		job.completeOccurrence(occurrence.number)
+	}
 }
 
 // predecessorsDone reports whether the steps that this one depends on have ended.
--- a/placing/limits.go
+++ b/placing/limits.go
@@ -8,6 +8,9 @@
 	MaxStopTime       time.Duration // longest time a stop takes
 	ReclaimTimeout    time.Duration // within which guaranteed urgent jobs begin
 	EndedJobRetention time.Duration // retention time of ended jobs
+	// MaxOpenBytes bounds the memory of the tasks of occurrences that are due and not done; 0 for no
+	// bound. Further occurrences wait until some are done.
+	MaxOpenBytes int64
 	// EvacuationTimeout is the time after which nothing starts any more in an evacuated zone; 0 where
 	// the platform states none.
 	EvacuationTimeout time.Duration
--- a/placing/preempt.go
+++ b/placing/preempt.go
@@ -348,7 +348,7 @@
 	for _, victim := range victims {
 		loss += victim.loss
 	}
-	work := e.coreSeconds(unit.job, unit.occurrence, false)
+	work := e.coreSeconds(unit.job, nil)
 	value := baseValue*e.meanWork(unit.job, work) + workValue*work
 	return loss <= maxLossFactor*value || unit.guaranteed
 }
--- a/placing/rank.go
+++ b/placing/rank.go
@@ -81,12 +81,13 @@
 	return max(0, free.MilliCores) + 1000*acceleratorCores*max(0, free.Accelerators)
 }
 
-// coreSeconds returns the work of an occurrence in core-seconds, all of it or the remainder.
-func (e *Engine) coreSeconds(job *job, occurrence *occurrence, remaining bool) float64 {
+// coreSeconds returns the remaining work of an occurrence in core-seconds; nil stands for one of which
+// nothing is done.
+func (e *Engine) coreSeconds(job *job, occurrence *occurrence) float64 {
 	total := 0.0
 	for index := range job.submission.Steps {
 		count := job.submission.Steps[index].Tasks
-		if remaining {
+		if occurrence != nil {
 			count = occurrence.steps[index].remainingTasks
 		}
 		total += float64(count) * coreEquivalents(job.submission.Steps[index].Need) * e.expectedRuntime(job, index).Seconds()
@@ -94,9 +95,9 @@
 	return total
 }
 
-// objective returns the time within which an occurrence is to finish.
-func (e *Engine) objective(job *job, occurrence *occurrence) time.Duration {
-	stretched := time.Duration(job.queue.Stretch * float64(e.criticalPath(job, occurrence, false)))
+// objective returns the time within which an occurrence of a job is to finish.
+func (e *Engine) objective(job *job) time.Duration {
+	stretched := time.Duration(job.queue.Stretch * float64(e.criticalPath(job, nil)))
 	return stretched + time.Duration(job.queue.TargetMS)*time.Millisecond
 }
 
@@ -115,6 +116,7 @@
 	e.unitScratch = e.unitScratch[:0]
 	nowMS := e.wallMS(now)
 	e.updateOverGuarantee()
+	e.openDueOccurrences(nowMS)
 	for _, job := range e.active {
 		if job.state.Final() {
 			continue
@@ -256,9 +258,9 @@
 // rank returns a unit of an occurrence with its place in the scheduling order, without a step
 // or tasks.
 func (e *Engine) rank(job *job, occurrence *occurrence, now time.Time) unit {
-	objective := e.objective(job, occurrence)
+	objective := e.objective(job)
 	start := e.startOfObjective(job, occurrence)
-	finish := now.Add(e.criticalPath(job, occurrence, true))
+	finish := now.Add(e.criticalPath(job, occurrence))
 	u := unit{job: job, occurrence: occurrence, deadline: start.Add(objective), now: now}
 	onTime := !finish.After(start.Add(objective))
 	late := !finish.After(start.Add(lateFactor * objective))
@@ -283,8 +285,8 @@
 
 // density returns the value of finishing an occurrence per core-second of remaining work.
 func (e *Engine) density(job *job, occurrence *occurrence) float64 {
-	total := e.coreSeconds(job, occurrence, false)
-	remaining := max(1, e.coreSeconds(job, occurrence, true))
+	total := e.coreSeconds(job, nil)
+	remaining := max(1, e.coreSeconds(job, occurrence))
 	mean := e.meanWork(job, total)
 	value := min(maxValue, baseValue+workValue*total/mean)
 	weight := 1.0
@@ -317,6 +319,6 @@
 		work = &queueWork{}
 		e.queueWork[job.queue.Name] = work
 	}
-	work.coreSeconds += e.coreSeconds(job, job.occurrences[0], false)
+	work.coreSeconds += e.coreSeconds(job, nil)
 	work.jobs++
 }
--- a/placing/ready_time.go
+++ b/placing/ready_time.go
@@ -39,7 +39,7 @@
 
 // markReadySteps records the ready time of steps that waited for a task that is done now.
 func (e *Engine) markReadySteps(job *job, done *task, now time.Time) {
-	occurrence := job.occurrences[done.key.Occurrence]
+	occurrence := job.occurrence(done.key.Occurrence)
 	for _, step := range occurrence.steps {
 		if step.readyAt.IsZero() && slices.Contains(step.spec.After, done.key.Step) && step.predecessorsDone(occurrence) {
 			step.readyAt = now
--- a/placing/ready_time_test.go
+++ b/placing/ready_time_test.go
@@ -35,7 +35,7 @@
 	c := newCluster(1)
 	c.submit(submission)
 	c.steps(1)
-	first := c.engine.jobs[submission.ID].occurrences[0].steps[0].tasks[0]
+	first := c.engine.jobs[submission.ID].occurrence(0).steps[0].tasks[0]
 	c.now = c.now.Add(4 * time.Second)
 	ready := c.now
 	end := EndedTask{Number: 1, Task: first.key, Run: 1, Kind: EndDone}
@@ -47,7 +47,7 @@
 		next.LoadJobs(jobsFromLog(t, submission, records), FormerLeaderReleased, ready.Add(later))
 		next.MarkJobsComplete()
 		next.Decide(ready.Add(later))
-		step := next.jobs[submission.ID].occurrences[0].steps[1]
+		step := next.jobs[submission.ID].occurrence(0).steps[1]
 		is.True(step.readyAt.Equal(ready))
 		is.True(step.observedReadyAt.Equal(ready.Add(later)))
 	}
@@ -65,6 +65,6 @@
 		e := testEngine(1)
 		e.LoadJobs([]*jobs.Job{{Submission: submission}}, FormerLeaderReleased, testStart)
 		e.Decide(testStart)
-		is.True(e.jobs[submission.ID].occurrences[0].steps[0].readyAt.Equal(ready))
+		is.True(e.jobs[submission.ID].occurrence(0).steps[0].readyAt.Equal(ready))
 	}
 }
--- a/placing/report.go
+++ b/placing/report.go
@@ -290,12 +290,9 @@
 		e.markDone(task)
 	}
 	e.markReadySteps(job, task, now)
-	for _, occurrence := range job.occurrences {
-		if occurrence.remainingTasks > 0 {
-			return
-		}
+	if job.remainingOccurrences == 0 {
+		e.finish(job, jobs.StateDone, "", now)
 	}
-	e.finish(job, jobs.StateDone, "", now)
 }
 
 // taskFailed counts an attempt. A gang's attempt counts once, however many of its members
--- a/placing/summary.go
+++ b/placing/summary.go
@@ -53,8 +53,8 @@
 		waiting[unit.tier] += int64(len(unit.tasks)) * unit.step.need().Accelerators
 	}
 	e.plan.LogEvents = append(e.plan.LogEvents, LogEvent{Event: "load", Detail: fmt.Sprintf(
-		"accelerators %d usable %d evacuated %d busy %d stopping %d waiting_by_tier %v jobs %d unanswered_starts %d cores_in_use %.2f memory_in_use %.2f %s",
-		total.Accelerators, usable, evacuated, used.Accelerators, stopping, waiting, len(e.active), e.unansweredStarts(),
+		"accelerators %d usable %d evacuated %d busy %d stopping %d waiting_by_tier %v jobs %d %s unanswered_starts %d cores_in_use %.2f memory_in_use %.2f %s",
+		total.Accelerators, usable, evacuated, used.Accelerators, stopping, waiting, len(e.active), e.openSummary(), e.unansweredStarts(),
 		ratio(used.MilliCores, total.MilliCores), ratio(used.MemoryMB, total.MemoryMB), e.classSummary(units, view))})
 }
 
