Refuse jobs that the smallest instance has no memory for

Change: each instance sums up an estimate of the submissions it keeps, and refuses a hand-in before anything is appended once the sum exceeds a quarter of the memory of the smallest instance that has announced its own. A tenth of that is kept for priority 0. The bound of open tasks follows the smallest instance, too, so that the next leader can load what a larger one has opened.

Evidence: TestJobsBeyondTheMemoryForThemAreRefused does not build on the code before, which has no such bound; the estimate is compared with the growth of the heap for jobs of 1 to 64 steps and texts up to 4,000 bytes. Instances of the former version ignore the new field of announcements and announce none.

--- a/batch/bounds.go
+++ b/batch/bounds.go
@@ -26,10 +26,6 @@
 	MemoryBytes int64
 }
 
-// openTasksShare is the part of its memory that a leader uses for tasks that are due and not done. The rest is for
-// accepted jobs, callers' requests, the workers and the runtime.
-const openTasksShare = 0.25
-
 // boundsPropagationTime is how long after a change here other instances may still use the previous
 // bounds: instances read their settings at different times.
 const boundsPropagationTime = 30 * time.Second
@@ -106,7 +102,7 @@
 		ReclaimTimeout:      current.ReclaimTimeout,
 		EndedJobRetention:   current.EndedJobRetention,
 		EvacuationTimeout:   current.EvacuationTimeout,
-		MaxOpenBytes:        int64(openTasksShare * float64(current.MemoryBytes)),
+		MaxOpenBytes:        int64(openTasksShare * float64(i.leastMemory())),
 		LostLeaderTimeout:   leaderGiveUpTimeout,
 		ReleasedTermTimeout: handOverTimeout,
 		// A delegate may dispatch to workers for an ended leader until its grant expires.
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -74,6 +74,9 @@
 	if outcome, refused := i.refuseIfAllEvacuated(submission.Queue.Priority); refused {
 		return outcome
 	}
+	if outcome, refused := i.refuseIfFull(submission); refused {
+		return outcome
+	}
 	submission.AcceptedMS = i.clock.WallMS(i.clock.Now())
 	record, err := jobs.SubmissionRecord(submission)
 	if err != nil {
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -256,7 +256,8 @@
 // registerAddress records this instance's address for the other instances, once per process.
 func (i *Instance) registerAddress(ctx context.Context) {
 	record, err := jobs.InstanceRecord(i.settings.Name, jobs.Instance{
-		Address: i.settings.RelayAddress, Zone: i.settings.Zone, CPUShare: i.settings.CPUShare})
+		Address: i.settings.RelayAddress, Zone: i.settings.Zone, CPUShare: i.settings.CPUShare,
+		MemoryMB: i.bounds.latest().MemoryBytes >> 20})
 	if err != nil {
 		i.log.WithField("error", err.Error()).Error("instance_record")
 		return
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -88,6 +88,23 @@
 	return total
 }
 
+const (
+	// jobBytes and stepBytes are what an instance keeps of a job, and of each of its steps, besides their
+	// texts: the leader's state is included.
+	jobBytes  = 1500
+	stepBytes = 320
+)
+
+// MemoryBytes returns what an instance needs to keep the job while nothing of it is due.
+func (s *Submission) MemoryBytes() int64 {
+	total := jobBytes + len(s.ID) + len(s.Spec) + len(s.Workspace)
+	for index := range s.Steps {
+		step := &s.Steps[index]
+		total += stepBytes + 8*len(step.After) + len(step.RequiredLabel) + len(step.DataRack) + len(step.Image)
+	}
+	return int64(total)
+}
+
 // MaxTasksPerJob is the maximum number of tasks of a job over all occurrences. It bounds
 // the size of the progress, which is a single record.
 const MaxTasksPerJob = 3000
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -62,6 +62,7 @@
 	Address  string  `json:"a"`           // IP:PORT for calls of other instances
 	Zone     string  `json:"z,omitempty"` // availability zone
 	CPUShare float64 `json:"c,omitempty"` // share of a core that its machine provides; 0 if unknown
+	MemoryMB int64   `json:"m,omitempty"` // memory limit of its process; 0 if unknown
 }
 
 // InstanceRecord returns the record by which an instance announces itself.
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -52,6 +52,8 @@
 	speeds           *Speeds // newest that could be read; nil if there is none
 	speedsNextOffset int64   // offset of speeds plus 1
 
+	submissionBytes int64 // memory of the submissions, see Submission.MemoryBytes
+
 	unreached           *Unreached // newest; nil if there is none or it could not be read
 	unreachedNextOffset int64      // offset of unreached plus 1
 }
@@ -199,6 +201,9 @@
 	if instance.CPUShare < 0 || instance.CPUShare > MaxCPUShare {
 		return eris.Errorf("instance %s has %g cores", name, instance.CPUShare)
 	}
+	if !inRange(instance.MemoryMB, MaxMemoryMB) {
+		return eris.Errorf("instance %s has %d MB", name, instance.MemoryMB)
+	}
 	t.instances[name] = *instance
 	return nil
 }
@@ -221,6 +226,28 @@
 	return Change{TermUpdated: true}, nil
 }
 
+// SubmissionBytes returns the memory that the submissions of all jobs take, of those that wait, run
+// or have ended and are kept.
+func (t *Table) SubmissionBytes() int64 { return t.submissionBytes }
+
+// LeastMemoryMB returns the memory of the smallest instance that has announced it, or 0 if none has.
+func (t *Table) LeastMemoryMB() int64 {
+	least := int64(0)
+	for _, instance := range t.instances {
+		if instance.MemoryMB > 0 && (least == 0 || instance.MemoryMB < least) {
+			least = instance.MemoryMB
+		}
+	}
+	return least
+}
+
+func (t *Table) remove(id string) {
+	if job := t.jobs[id]; job != nil && job.Submission != nil {
+		t.submissionBytes -= job.Submission.MemoryBytes()
+	}
+	delete(t.jobs, id)
+}
+
 func (t *Table) ensureJob(id string) *Job {
 	job := t.jobs[id]
 	if job == nil {
@@ -233,7 +260,7 @@
 func (t *Table) applySubmission(id string, record Record, part int) (Change, error) {
 	if len(record.Value) == 0 {
 		if job := t.jobs[id]; job != nil && job.Progress == nil && job.RecordedState == "" {
-			delete(t.jobs, id)
+			t.remove(id)
 		}
 		return Change{JobID: id}, nil
 	}
@@ -251,6 +278,7 @@
 	submission.limit()
 	job := t.ensureJob(id)
 	job.Submission = submission
+	t.submissionBytes += submission.MemoryBytes()
 	job.Parts |= 1 << part
 	return Change{JobID: id}, nil
 }
@@ -288,7 +316,7 @@
 		return Change{}, nil // older than the page of newest records that was read before
 	}
 	if len(record.Value) == 0 {
-		delete(t.jobs, id)
+		t.remove(id)
 		return Change{JobID: id}, nil
 	}
 	state, err := decodeState(record.Value)
