Open less work after each of several short terms in a row

Change: the record of the term states how long it has lasted and how many short ones came directly before it. After more than two terms in a row that ended within 10 s without a hand-over each leader opens half as much as the one before, down to 256 KB; the bound doubles with each 10 s that a term lasts. The line term_won has short_terms.

Not played with processes. Instances of the former version ignore the fields; a term of theirs begins the row anew.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -11,7 +11,7 @@
 // claimTerm tries to win the next term. The fold shows whether it succeeded.
 func (i *Instance) claimTerm(ctx context.Context, current jobs.Term) {
 	if i.lastClaim.Epoch <= current.Epoch {
-		i.lastClaim = jobs.Term{Epoch: current.Epoch + 1, Leader: i.identity}
+		i.lastClaim = jobs.Term{Epoch: current.Epoch + 1, Leader: i.identity, ShortTerms: shortTerms(current)}
 		i.claimSequence = i.randomSequence()
 	}
 	record, err := jobs.TermRecord(i.lastClaim)
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -44,6 +44,7 @@
 	events       *ring.Ring[event]
 	dispatchers  *dispatchers
 	writer       *fencedWriter
+	shortTerms   int // in a row before this one
 	termLost     bool
 	termOpenedAt time.Time                      // when the term was opened to others; zero before
 	entries      map[string]placing.WorkerEntry // by worker name; guarded by the lock of workerList
@@ -61,21 +62,22 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := &leader{
-		instance: i,
-		log:      i.log.WithField("epoch", term.Epoch),
-		clock:    i.clock,
-		engine:   placing.New(i.limits(), term.Epoch, i.clock.WallMS),
-		epoch:    term.Epoch,
-		events:   ring.New[event](eventQueueSize),
-		entries:  map[string]placing.WorkerEntry{},
-		pools:    map[string]bool{},
-		ctx:      ctx,
+		instance:   i,
+		log:        i.log.WithField("epoch", term.Epoch),
+		clock:      i.clock,
+		engine:     placing.New(i.limits(), term.Epoch, i.clock.WallMS),
+		epoch:      term.Epoch,
+		shortTerms: term.ShortTerms,
+		events:     ring.New[event](eventQueueSize),
+		entries:    map[string]placing.WorkerEntry{},
+		pools:      map[string]bool{},
+		ctx:        ctx,
 	}
 	l.dispatchers = newDispatchers(l)
 	l.writer = newFencedWriter(l, term, sequence)
 	i.delegations.fenceBefore(term.Epoch)
 	former := l.applyFormerLeases(previous, term)
-	l.log.WithField("former", former.String()).Info("term_won")
+	l.log.WithField("former", former.String()).WithField("short_terms", term.ShortTerms).Info("term_won")
 	i.leading.Store(true)
 	i.wakeFollowers()
 	defer i.leading.Store(false)
@@ -237,7 +239,7 @@
 		l.engine.SetListReadAt(l.workerList.lastContact())
 		l.engine.SetListIncomplete(l.listIncomplete(l.clock.Now()))
 		l.engine.SetEvacuationsReadAt(l.instance.operator.lastContact())
-		l.engine.SetLimits(l.instance.limits())
+		l.engine.SetLimits(l.limits())
 		l.engine.SetStartLimit(l.dispatchers.startLimit())
 		plan := l.engine.Decide(l.clock.Now())
 		l.execute(ctx, plan)
@@ -247,6 +249,13 @@
 	}
 }
 
+// limits returns the limits of scheduling decisions, reduced after a row of short terms.
+func (l *leader) limits() placing.Limits {
+	limits := l.instance.limits()
+	limits.MaxOpenBytes = reducedOpenBytes(limits.MaxOpenBytes, l.shortTerms, l.clock.Now().Sub(l.writer.wonAt))
+	return limits
+}
+
 // nextTimeout returns the delay until the next scheduling pass if no event arrives before.
 func nextTimeout(plan placing.Plan) time.Duration {
 	if plan.RecheckAfter > 0 {
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -37,8 +37,9 @@
 	lock        sync.Mutex
 	earlyStates []jobs.Record // states that do not wait for a group
 	term        jobs.Term
-	renewNow    bool      // renew the term regardless of the time
-	stalled     bool      // progress cannot be written
+	renewNow    bool // renew the term regardless of the time
+	stalled     bool // progress cannot be written
+	wonAt       time.Time
 	confirmedAt time.Time // when the newest successful append of states was sent
 	// formerLeasesExpireAt is when leases have expired that were granted before the term; zero until that is known.
 	formerLeasesExpireAt time.Time
@@ -52,6 +53,7 @@
 		earlySignal: make(chan struct{}, 1),
 		statesLock:  make(chan struct{}, 1),
 		term:        term,
+		wonAt:       leader.clock.Now(),
 		confirmedAt: leader.clock.Now(),
 	}
 	i := leader.instance
@@ -249,6 +251,7 @@
 	defer w.lock.Unlock()
 	w.term.Renewals++
 	w.term.Stalled = w.stalled
+	w.term.AgeMS = w.leader.clock.Now().Sub(w.wonAt).Milliseconds()
 	if !w.formerLeasesExpireAt.IsZero() {
 		w.term.FormerLeasesMS = max(0, w.formerLeasesExpireAt.Sub(w.leader.clock.Now()).Milliseconds()) + 1
 	}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -219,6 +219,9 @@
 	if term.Epoch < 1 || term.Epoch > MaxEpoch || !inRange(term.FormerLeasesMS, MaxLeaseMS) {
 		return Change{}, eris.Errorf("term %d or its former leases of %d ms are out of range", term.Epoch, term.FormerLeasesMS)
 	}
+	if !inRange(term.AgeMS, MaxTimeMS) || !inRange(int64(term.ShortTerms), MaxRun) {
+		return Change{}, eris.Errorf("term %d of %d ms follows %d short ones", term.Epoch, term.AgeMS, term.ShortTerms)
+	}
 	if term.Epoch < t.term.Epoch {
 		return Change{}, nil
 	}
