Limit a leader's requests of leases, and count them from its last renewal

Cause: a leader that had lost the store renewed leases for 9 s, and the next one counted that and the longest lease from its own beginning.

Change: leases are requested for 2.5 s after the newest confirmed renewal was sent, by delegates, too, and all of them once more 0.5 s before that. The next leader counts from when it read the former one's newest renewal. The term states the limit; a claim states what is left of earlier leases. An append that waits in a silent outage is sent again once the store answers anything else, as leases would lapse meanwhile.

Leaders of the former version state no limit and are waited for as before; delegates of it are not used. Tests of sessions name the new field, and the writer of a term takes the time of its claim: their checks are the same.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -283,7 +283,7 @@
 		instance := New(Settings{Name: "a", StoreParts: 8}, store, nil, nil, metrics.NewRegistry(), discardLog())
 		l := &leader{instance: instance, clock: instance.clock, log: discardLog()}
 		renewed := jobs.Term{Epoch: 3, Leader: "a/1", Renewals: 7}
-		writer := newFencedWriter(l, renewed, 1)
+		writer := newFencedWriter(l, renewed, 1, l.clock.Now())
 		record, err := jobs.TermRecord(jobs.Term{Epoch: 3, Leader: "a/1", Renewals: 6})
 		is.NoErr(err)
 		instance.fold.apply(statePart, Batch{Records: []jobs.Record{record}, Offsets: []int64{0}})
@@ -302,13 +302,30 @@
 	lock   sync.Mutex
 	parts  map[int][]jobs.Record
 	epochs map[int]int64
+	away   bool // appends get no answer and have no effect
 }
 
 func newPartitionedStore() *partitionedStore {
 	return &partitionedStore{parts: map[int][]jobs.Record{}, epochs: map[int]int64{}}
 }
 
-func (s *partitionedStore) Append(_ context.Context, part int, records []jobs.Record, fence *Fence) error {
+func (s *partitionedStore) setAway(away bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.away = away
+}
+
+func (s *partitionedStore) isAway() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.away
+}
+
+func (s *partitionedStore) Append(ctx context.Context, part int, records []jobs.Record, fence *Fence) error {
+	if s.isAway() {
+		<-ctx.Done()
+		return ErrResultUnknown
+	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if fence != nil && fence.Epoch < s.epochs[part] {
@@ -332,7 +349,7 @@
 func newTestWriter(store Store, epoch int64) *fencedWriter {
 	instance := New(Settings{Name: "a", StoreParts: 8}, store, nil, nil, metrics.NewRegistry(), discardLog())
 	l := &leader{instance: instance, clock: instance.clock, log: discardLog()}
-	return newFencedWriter(l, jobs.Term{Epoch: epoch, Leader: "a/1"}, 1)
+	return newFencedWriter(l, jobs.Term{Epoch: epoch, Leader: "a/1"}, 1, l.clock.Now())
 }
 
 // Progress goes to its own part and only states share a part with the term, so that instances that
--- a/batch/callparts.go
+++ b/batch/callparts.go
@@ -139,10 +139,13 @@
 
 // hasEvidence reports whether the store has answered any call lately, by the usual latency of appends.
 func (i *Instance) hasEvidence(part int) bool {
-	age := i.clock.Now().Sub(time.Unix(0, i.storeAnsweredAt.Load()))
+	age := i.clock.Now().Sub(i.lastStoreAnswer())
 	return age <= max(minEvidenceAge, i.committerOf(part).timeout.currentIgnoringUnanswered())
 }
 
+// lastStoreAnswer returns when the store last answered any call of this instance.
+func (i *Instance) lastStoreAnswer() time.Time { return time.Unix(0, i.storeAnsweredAt.Load()) }
+
 func (i *Instance) recordStoreAnswer() { i.storeAnsweredAt.Store(i.clock.Now().UnixNano()) }
 
 // reachesStore reports whether any part for callers' records is likely to answer. Without evidence it
--- a/batch/claim.go
+++ b/batch/claim.go
@@ -11,8 +11,11 @@
 // claimTerm tries to win the next term. The fold shows whether it succeeded.
 func (i *Instance) claimTerm(ctx context.Context, current jobs.Term) {
 	if i.lastClaim.Epoch <= current.Epoch {
-		i.lastClaim = jobs.Term{Epoch: current.Epoch + 1, Leader: i.identity, ShortTerms: shortTerms(current)}
+		now := i.clock.Now()
+		i.lastClaim = jobs.Term{Epoch: current.Epoch + 1, Leader: i.identity, ShortTerms: shortTerms(current),
+			LeaseLimitMS: leaseLimit.Milliseconds(), FormerLeasesMS: statedFormerLeases(current, i.bounds.maxGrantedLease(now))}
 		i.claimSequence = i.randomSequence()
+		i.claimSentAt = now
 	}
 	record, err := jobs.TermRecord(i.lastClaim)
 	if err != nil {
--- a/batch/delegation.go
+++ b/batch/delegation.go
@@ -47,6 +47,9 @@
 	grantExpiry time.Time // orders are allowed until then; zero before the first grant
 	fenced      bool      // a later term has been observed
 	workerCount int
+	leaseUntil  int64 // leases may be requested until then, in nanoseconds of this instance's clock; 0 for no limit
+
+	leases leaseState // used by receiveLoop
 }
 
 // ServeDelegation serves a session opened by the leader of a term, until the session ends. The
@@ -87,6 +90,7 @@
 	env := i.newLinkEnv(epoch, log)
 	env.report = d.report
 	env.hasGrant = d.hasGrant
+	env.leasesAllowed = d.leasesAllowed
 	d.links = newLinkSet(ctx, env, &sync.WaitGroup{})
 	return d
 }
@@ -120,6 +124,7 @@
 
 func (d *delegation) applyOrders(orders *relaypb.Orders) {
 	d.renewGrant(orders)
+	d.updateLeases()
 	for _, order := range orders.List {
 		d.execute(order)
 	}
@@ -135,6 +140,7 @@
 	defer d.lock.Unlock()
 	d.leaderClock = orders.Clock
 	d.receivedAt = d.clock.Now()
+	d.leaseUntil = orders.LeaseUntil
 	if orders.Echo > 0 {
 		d.grantExpiry = time.Unix(0, orders.Echo).Add(grantDuration)
 	}
@@ -236,10 +242,10 @@
 }
 
 // nextMessage returns the next message to the leader. Lives says that this version distinguishes
-// incarnations of a worker.
+// incarnations of a worker, Bounded that it limits its requests of leases.
 func (d *delegation) nextMessage(draining bool) *relaypb.Kept {
 	now := d.clock.Now()
-	message := &relaypb.Kept{Clock: now.UnixNano(), Draining: draining, Fenced: d.isFenced(), Lives: true}
+	message := &relaypb.Kept{Clock: now.UnixNano(), Draining: draining, Fenced: d.isFenced(), Lives: true, Bounded: true}
 	d.lock.Lock()
 	// Added to a time of this instance's clock, the offset gives that of the leader's clock.
 	clockOffset := time.Duration(d.leaderClock - d.receivedAt.UnixNano())
--- a/batch/dispatchers.go
+++ b/batch/dispatchers.go
@@ -110,6 +110,7 @@
 	env := l.instance.newLinkEnv(l.epoch, l.log)
 	env.report = func(ctx context.Context, e event) { l.events.Put(ctx, ownLinkEvent{event: e}) }
 	env.startsAllowed = l.instance.mayStartWithoutGrant
+	env.leasesAllowed = l.leasesAllowed
 	return &dispatchers{
 		leader:   l,
 		ownLinks: newLinkSet(l.ctx, env, &l.wg),
--- a/batch/fencedappend.go
+++ b/batch/fencedappend.go
@@ -15,6 +15,9 @@
 	// readBackInterval is how often the fold is checked for an append that has no answer yet; the
 	// leader reads its own parts of the log all the time.
 	readBackInterval = 40 * time.Millisecond
+	// minStoreSilence is how long the store answers nothing at all before an append that waits meanwhile is
+	// taken as lost in an outage. A slow store answers some read of nine within that.
+	minStoreSilence = time.Second
 )
 
 // fencedAppender appends to one part of the log under the epoch of a term. It repeats a group
@@ -30,6 +33,7 @@
 	timeout    adaptiveTimeout
 	isInLog    func(records []jobs.Record) bool // reports whether the fold contains the records
 	onAttempt  func(began time.Time, err error) // called after each attempt; may be nil
+	answeredAt func() time.Time                 // when the store last answered any call of this instance
 }
 
 // append appends a group. Its errors are ErrFenced and that of ctx.
@@ -70,10 +74,12 @@
 }
 
 // awaitAnswer waits for an append's answer or until the fold contains its records: the answer may
-// be lost although the append took effect.
+// be lost although the append took effect. It does not wait on once the store answers other calls again after
+// an outage, in which the append may have been lost.
 func (p *fencedAppender) awaitAnswer(answer <-chan error, records []jobs.Record) error {
 	ticker := time.NewTicker(readBackInterval)
 	defer ticker.Stop()
+	wasSilent := false
 	for {
 		select {
 		case err := <-answer:
@@ -83,5 +89,10 @@
 		if p.isInLog(records) {
 			return nil
 		}
+		isSilent := p.clock.Now().Sub(p.answeredAt()) >= minStoreSilence
+		if wasSilent && !isSilent {
+			return ErrResultUnknown
+		}
+		wasSilent = isSilent
 	}
 }
--- a/batch/handover_test.go
+++ b/batch/handover_test.go
@@ -22,7 +22,7 @@
 	l := &leader{instance: instance, clock: instance.clock, log: discardLog(), epoch: epoch, ctx: ctx,
 		engine: placing.New(instance.limits(), epoch, instance.clock.WallMS), events: ring.New[event](eventQueueSize), pools: map[string]bool{}, entries: map[string]placing.WorkerEntry{}}
 	l.dispatchers = newDispatchers(l)
-	l.writer = newFencedWriter(l, jobs.Term{Epoch: epoch, Leader: "a/1"}, 1)
+	l.writer = newFencedWriter(l, jobs.Term{Epoch: epoch, Leader: "a/1"}, 1, l.clock.Now())
 	l.workerList = l.newWorkerListFollower()
 	l.loadEngine(placing.FormerLeaderReleased)
 	l.spawn(ctx, l.writer.run)
--- a/batch/instance.go
+++ b/batch/instance.go
@@ -90,6 +90,7 @@
 	handOver        chan struct{}                        // closed when the term is to be handed over
 	lastClaim       jobs.Term                            // last term that this process claimed
 	claimSequence   int64
+	claimSentAt     time.Time // when lastClaim was sent first
 }
 
 // New returns an instance that has not been started.
@@ -109,7 +110,7 @@
 		kernel:   kernel.New(log),
 		handOver: make(chan struct{}),
 	}
-	i.fold = newWorkFold(log)
+	i.fold = newWorkFold(i.clock, log)
 	i.peers = newPeers(i.clock)
 	i.waiting = newWaitingRoom()
 	i.eventLog = newEventLog(i.clock)
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -45,6 +45,7 @@
 	dispatchers  *dispatchers
 	writer       *fencedWriter
 	shortTerms   int // in a row before this one
+	leases       leaseState
 	termLost     bool
 	termOpenedAt time.Time                      // when the term was opened to others; zero before
 	entries      map[string]placing.WorkerEntry // by worker name; guarded by the lock of workerList
@@ -74,7 +75,7 @@
 		ctx:        ctx,
 	}
 	l.dispatchers = newDispatchers(l)
-	l.writer = newFencedWriter(l, term, sequence)
+	l.writer = newFencedWriter(l, term, sequence, i.claimSentAt)
 	i.delegations.fenceBefore(term.Epoch)
 	former := l.applyFormerLeases(previous, term)
 	l.log.WithField("former", former.String()).WithField("short_terms", term.ShortTerms).Info("term_won")
@@ -158,6 +159,9 @@
 		return placing.FormerLeaderUnknown
 	}
 	l.engine.SetFormerLeases(l.clock.Now().Add(left))
+	if end, known := l.instance.formerLeaderEnd(term.Epoch); known {
+		l.engine.SetFormerLeaderEnd(end)
+	}
 	return formerLeaderState(previous, term, l.instance.settings.Name)
 }
 
@@ -236,6 +240,7 @@
 		if !l.holdsTerm() {
 			return
 		}
+		l.updateLeases(l.clock.Now())
 		l.engine.SetListReadAt(l.workerList.lastContact())
 		l.engine.SetListIncomplete(l.listIncomplete(l.clock.Now()))
 		l.engine.SetEvacuationsReadAt(l.instance.operator.lastContact())
--- a/batch/linklease.go
+++ b/batch/linklease.go
@@ -8,10 +8,11 @@
 	"github.com/teaselcleat/teaselcleat/placing"
 )
 
-// leaseForHold returns the lease that a hold requests: 0, for none, while the worker does not answer.
-// Its next incarnation may receive the hold, and would grant the longest lease to what runs there.
+// leaseForHold returns the lease that a hold requests: 0, for none, while the worker does not answer or
+// this instance may request none. The worker's next incarnation may receive the hold, and would grant the longest lease to
+// what runs there.
 func (l *link) leaseForHold(now time.Time) int64 {
-	if !l.isReachable() {
+	if !l.isReachable() || !l.env.leasesAllowed() {
 		return 0
 	}
 	return l.extendLease(now)
@@ -24,11 +25,11 @@
 }
 
 // extendLease returns the lease to request. The lease is not extended while the worker does not
-// answer, so that the time at which everything has expired does not move.
+// answer, so that the time at which everything has expired does not move, nor while this instance may request none.
 func (l *link) extendLease(now time.Time) int64 {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	if l.workerClockMS == 0 || !l.reachable {
+	if l.workerClockMS == 0 || !l.reachable || !l.env.leasesAllowed() {
 		return l.leaseUntilMS
 	}
 	lease := l.env.bounds.leaseToRequest(now)
--- a/batch/linkset.go
+++ b/batch/linkset.go
@@ -26,6 +26,8 @@
 	report func(ctx context.Context, answer event)
 	// hasGrant reports whether orders may be sent now; nil means always.
 	hasGrant func() bool
+	// leasesAllowed reports whether leases may be requested now.
+	leasesAllowed func() bool
 	// startsAllowed reports whether starts may be sent to an availability zone. It is checked before
 	// each attempt, as a start may wait here while its zone is evacuated.
 	startsAllowed func(zone string) bool
@@ -41,6 +43,7 @@
 		startTime:     i.metrics.startTime,
 		orderSlots:    newOrderSlots(),
 		timeout:       adaptiveTimeout{minimum: minOrderTimeout},
+		leasesAllowed: func() bool { return true },
 		startsAllowed: i.mayStartInZone,
 	}
 }
--- a/batch/session.go
+++ b/batch/session.go
@@ -26,13 +26,15 @@
 
 // session is the leader's connection to a delegate and to the workers delegated to it.
 type session struct {
-	name    string // of the delegate
-	clock   *Clock
-	stream  *relay.Stream
-	emit    func(ctx context.Context, next event)
-	termCtx context.Context // ends with the term
-	ctx     context.Context
-	cancel  context.CancelFunc
+	name   string // of the delegate
+	clock  *Clock
+	stream *relay.Stream
+	emit   func(ctx context.Context, next event)
+	// leasesUntil returns until when leases may be requested for the leader.
+	leasesUntil func() time.Time
+	termCtx     context.Context // ends with the term
+	ctx         context.Context
+	cancel      context.CancelFunc
 
 	draining   bool // this and workers are used only by the leader's loop
 	workers    int  // workers delegated through this session
@@ -47,8 +49,8 @@
 	signal     chan struct{}
 }
 
-func newSession(ctx context.Context, name string, stream *relay.Stream, clock *Clock, emit func(context.Context, event)) *session {
-	s := &session{name: name, clock: clock, stream: stream, emit: emit, termCtx: ctx, signal: make(chan struct{}, 1)}
+func newSession(ctx context.Context, name string, stream *relay.Stream, clock *Clock, leasesUntil func() time.Time, emit func(context.Context, event)) *session {
+	s := &session{name: name, clock: clock, stream: stream, emit: emit, leasesUntil: leasesUntil, termCtx: ctx, signal: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.receivedAt.Store(clock.Now().UnixNano())
 	return s
@@ -78,6 +80,9 @@
 		if !message.Lives && !message.Refused && !message.Fenced {
 			return "an earlier version that does not distinguish incarnations of workers"
 		}
+		if !message.Bounded && !message.Refused && !message.Fenced {
+			return "an earlier version that does not limit its requests of leases"
+		}
 		now := s.clock.Now()
 		s.receivedAt.Store(now.UnixNano())
 		first := s.delegateClock.Swap(message.Clock) == 0
@@ -121,7 +126,10 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	count := min(maxOrdersPerMessage, len(s.orders))
-	message := &relaypb.Orders{Clock: s.clock.Now().UnixNano(), Echo: s.delegateClock.Load(), List: s.orders[:count:count]}
+	now, echo := s.clock.Now(), s.delegateClock.Load()
+	message := &relaypb.Orders{Clock: now.UnixNano(), Echo: echo, List: s.orders[:count:count]}
+	// The delegate's clock has gone on since it sent the message that is echoed.
+	message.LeaseUntil = max(1, echo+s.leasesUntil().Sub(now).Nanoseconds())
 	s.orders = s.orders[count:]
 	if len(s.orders) > 0 {
 		s.wake()
--- a/batch/shards.go
+++ b/batch/shards.go
@@ -100,7 +100,7 @@
 			putEvent(ctx, openFailure{name: name, cause: err.Error()})
 			return
 		}
-		newSession(ctx, name, stream, l.clock, putEvent).run()
+		newSession(ctx, name, stream, l.clock, l.leasesUntil, putEvent).run()
 	})
 }
 
--- a/batch/shards_test.go
+++ b/batch/shards_test.go
@@ -274,7 +274,7 @@
 		clock := NewClock()
 		useTestClock(clock)
 		events := make(chan event, 8)
-		go newSession(t.Context(), "keeper", near, clock, func(_ context.Context, next event) { events <- next }).run()
+		go newSession(t.Context(), "keeper", near, clock, clock.Now, func(_ context.Context, next event) { events <- next }).run()
 		go func() { _ = far.Send(&relaypb.Kept{Clock: 1}) }()
 		ended, ok := (<-events).(streamEnd) // it was never opened
 		is.True(ok)
@@ -290,9 +290,9 @@
 		clock := NewClock()
 		useTestClock(clock)
 		events := make(chan event, 8)
-		s := newSession(t.Context(), "keeper", near, clock, func(_ context.Context, next event) { events <- next })
+		s := newSession(t.Context(), "keeper", near, clock, clock.Now, func(_ context.Context, next event) { events <- next })
 		go s.run()
-		go func() { _ = far.Send(&relaypb.Kept{Clock: 1, Lives: true}) }()
+		go func() { _ = far.Send(&relaypb.Kept{Clock: 1, Lives: true, Bounded: true}) }()
 		<-events // opened
 		<-events // its first message
 		var readers sync.WaitGroup
--- a/batch/writer.go
+++ b/batch/writer.go
@@ -45,8 +45,9 @@
 	formerLeasesExpireAt time.Time
 }
 
-// newFencedWriter returns a writer that continues after the append that claimed the term.
-func newFencedWriter(leader *leader, term jobs.Term, sequence int64) *fencedWriter {
+// newFencedWriter returns a writer that continues after the append that claimed the term, which was sent at
+// claimedAt.
+func newFencedWriter(leader *leader, term jobs.Term, sequence int64, claimedAt time.Time) *fencedWriter {
 	w := &fencedWriter{
 		leader:      leader,
 		groups:      make(chan recordGroup, 2), // the engine's and a renewal
@@ -54,12 +55,12 @@
 		statesLock:  make(chan struct{}, 1),
 		term:        term,
 		wonAt:       leader.clock.Now(),
-		confirmedAt: leader.clock.Now(),
+		confirmedAt: claimedAt,
 	}
 	i := leader.instance
-	w.states = &fencedAppender{store: i.store, clock: i.clock, part: statePart, epoch: term.Epoch, sequence: sequence, isInLog: w.renewalWasRead}
+	w.states = &fencedAppender{store: i.store, clock: i.clock, part: statePart, epoch: term.Epoch, sequence: sequence, isInLog: w.renewalWasRead, answeredAt: i.lastStoreAnswer}
 	if part := progressPart(i.settings.StoreParts); part != statePart {
-		w.progress = &fencedAppender{store: i.store, clock: i.clock, part: part, epoch: term.Epoch, sequence: i.randomSequence(), isInLog: i.progressWasRead, onAttempt: w.recordProgressAttempt}
+		w.progress = &fencedAppender{store: i.store, clock: i.clock, part: part, epoch: term.Epoch, sequence: i.randomSequence(), isInLog: i.progressWasRead, onAttempt: w.recordProgressAttempt, answeredAt: i.lastStoreAnswer}
 	}
 	return w
 }
@@ -251,6 +252,7 @@
 	defer w.lock.Unlock()
 	w.term.Renewals++
 	w.term.Stalled = w.stalled
+	w.term.LeaseLimitMS = leaseLimit.Milliseconds()
 	w.term.AgeMS = w.leader.clock.Now().Sub(w.wonAt).Milliseconds()
 	if !w.formerLeasesExpireAt.IsZero() {
 		w.term.FormerLeasesMS = max(0, w.formerLeasesExpireAt.Sub(w.leader.clock.Now()).Milliseconds()) + 1
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -40,8 +40,11 @@
 	// FormerLeasesMS is how long leases that were granted before this term may last from the
 	// renewal on, plus 1; 0 if that is not stated, as in claims and by former versions.
 	FormerLeasesMS int64 `json:"f,omitempty"`
-	AgeMS          int64 `json:"g,omitempty"` // how long the term had lasted at this renewal
-	ShortTerms     int   `json:"t,omitempty"` // number of terms directly before this one that were short
+	// LeaseLimitMS is how long after the leader sent its newest renewal leases may be requested for it; 0 if
+	// that is not stated, as by former versions.
+	LeaseLimitMS int64 `json:"l,omitempty"`
+	AgeMS        int64 `json:"g,omitempty"` // how long the term had lasted at this renewal
+	ShortTerms   int   `json:"t,omitempty"` // number of terms directly before this one that were short
 }
 
 // SubmissionRecord returns the record by which a job is accepted.
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -216,8 +216,8 @@
 	if err != nil {
 		return Change{}, err
 	}
-	if term.Epoch < 1 || term.Epoch > MaxEpoch || !inRange(term.FormerLeasesMS, MaxLeaseMS) {
-		return Change{}, eris.Errorf("term %d or its former leases of %d ms are out of range", term.Epoch, term.FormerLeasesMS)
+	if term.Epoch < 1 || term.Epoch > MaxEpoch || !inRange(term.FormerLeasesMS, MaxLeaseMS) || !inRange(term.LeaseLimitMS, MaxLeaseMS) {
+		return Change{}, eris.Errorf("term %d, its former leases of %d ms or its limit of %d ms are out of range", term.Epoch, term.FormerLeasesMS, term.LeaseLimitMS)
 	}
 	if !inRange(term.AgeMS, MaxTimeMS) || !inRange(int64(term.ShortTerms), MaxRun) {
 		return Change{}, eris.Errorf("term %d of %d ms follows %d short ones", term.Epoch, term.AgeMS, term.ShortTerms)
--- a/placing/engine.go
+++ b/placing/engine.go
@@ -59,6 +59,7 @@
 	oldestAdviceFirst    bool    // the next request is for the unit that has waited longest since its last
 	adviceQueue          []*unit // of the present pass, see queueForAdvice
 	nextAdviceAt         time.Time
+	formerLeaderEnd      time.Time       // see SetFormerLeaderEnd; zero if not known
 	formerLeasesExpireAt time.Time       // when all leases granted by former leaders have expired
 	jobsComplete         bool            // see MarkJobsComplete
 	decisions            int64           // calls of Decide, for work that is not needed in each
@@ -179,7 +180,11 @@
 // expected at their workers. Those at workers that are not listed any more count as
 // running until the leases of the former leader have expired.
 func (e *Engine) LoadJobs(loaded []*jobs.Job, former FormerLeaderState, now time.Time) {
-	e.formerLeasesExpireAt = laterTime(e.formerLeasesExpireAt, now.Add(LeaseExpiry(e.limits.MaxLease)+e.limits.formerLeaderTimeout(former)))
+	end := now.Add(e.limits.formerLeaderTimeout(former))
+	if !e.formerLeaderEnd.IsZero() && e.formerLeaderEnd.Before(end) {
+		end = e.formerLeaderEnd
+	}
+	e.formerLeasesExpireAt = laterTime(e.formerLeasesExpireAt, end.Add(LeaseExpiry(e.limits.MaxLease)))
 	for _, job := range loaded {
 		e.ApplyJob(job, now)
 	}
--- a/placing/limits.go
+++ b/placing/limits.go
@@ -60,5 +60,9 @@
 // is called before LoadJobs.
 func (e *Engine) SetFormerLeases(expireAt time.Time) { e.formerLeasesExpireAt = expireAt }
 
+// SetFormerLeaderEnd sets by when the former leader has requested its last lease, if that is known to be
+// earlier than its state tells. It is called before LoadJobs.
+func (e *Engine) SetFormerLeaderEnd(at time.Time) { e.formerLeaderEnd = at }
+
 // FormerLeasesExpireAt returns when all leases have expired that were granted before this term.
 func (e *Engine) FormerLeasesExpireAt() time.Time { return e.formerLeasesExpireAt }
