Reading: consecutive short terms, one play of faults for both properties

Names and comments; the limits of a leader stand beside what reduces them, the switch of the simulated store beside the tests that use it. No behaviour changes.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -309,18 +309,6 @@
 	return &partitionedStore{parts: map[int][]jobs.Record{}, epochs: map[int]int64{}}
 }
 
-func (s *partitionedStore) setAway(away bool) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.away = away
-}
-
-func (s *partitionedStore) isAway() bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return s.away
-}
-
 func (s *partitionedStore) Append(ctx context.Context, part int, records []jobs.Record, fence *Fence) error {
 	if s.isAway() {
 		<-ctx.Done()
--- a/batch/leader.go
+++ b/batch/leader.go
@@ -44,7 +44,7 @@
 	events       *ring.Ring[event]
 	dispatchers  *dispatchers
 	writer       *fencedWriter
-	shortTerms   int // in a row before this one
+	shortTerms   int // consecutive ones before this one
 	leases       leaseState
 	termLost     bool
 	termOpenedAt time.Time                      // when the term was opened to others; zero before
@@ -254,13 +254,6 @@
 	}
 }
 
-// limits returns the limits of scheduling decisions, reduced after a row of short terms.
-func (l *leader) limits() placing.Limits {
-	limits := l.instance.limits()
-	limits.MaxOpenBytes = reducedOpenBytes(limits.MaxOpenBytes, l.shortTerms, l.clock.Now().Sub(l.writer.wonAt))
-	return limits
-}
-
 // nextTimeout returns the delay until the next scheduling pass if no event arrives before.
 func nextTimeout(plan placing.Plan) time.Duration {
 	if plan.RecheckAfter > 0 {
--- a/batch/leaselimit_test.go
+++ b/batch/leaselimit_test.go
@@ -15,6 +15,18 @@
 // longestOutage is the longest outage of the whole store that the users' deployments list.
 const longestOutage = 6500 * time.Millisecond
 
+func (s *partitionedStore) setAway(away bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.away = away
+}
+
+func (s *partitionedStore) isAway() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.away
+}
+
 // lastLease returns the latest end of a lease at any worker.
 func (s *simWorkers) lastLease() time.Time {
 	s.lock.Lock()
--- a/batch/linklease.go
+++ b/batch/linklease.go
@@ -8,9 +8,9 @@
 	"github.com/teaselcleat/teaselcleat/placing"
 )
 
-// leaseForHold returns the lease that a hold requests: 0, for none, while the worker does not answer or
-// this instance may request none. The worker's next incarnation may receive the hold, and would grant the longest lease to
-// what runs there.
+// leaseForHold returns the lease that a hold requests: 0, for none, while this instance may request none or
+// the worker does not answer. The worker's next incarnation may receive the hold, and would grant the longest
+// lease to what runs there.
 func (l *link) leaseForHold(now time.Time) int64 {
 	if !l.isReachable() || !l.env.leasesAllowed() {
 		return 0
--- a/batch/shortterms.go
+++ b/batch/shortterms.go
@@ -4,16 +4,16 @@
 	"time"
 
 	"github.com/teaselcleat/teaselcleat/jobs"
+	"github.com/teaselcleat/teaselcleat/placing"
 )
 
-// A leader that ends because of what it loads or opens hands the same work to the next one. After several
-// short terms in a row each leader opens half as much work as the one before, so that a load that no leader survives is
-// reduced until one does.
+// A leader that ends because of the work that it opens hands the same work to the next one. After several
+// consecutive short terms each leader opens half as much as the one before, until a term lasts.
 
 const (
-	// shortTermDuration is how long a term lasts at least to end a row of short ones.
+	// shortTermDuration is the age from which a term does not count as short.
 	shortTermDuration = 10 * time.Second
-	// maxOrdinaryShortTerms is the number of short terms in a row that faults of machines explain.
+	// maxOrdinaryShortTerms is the number of consecutive short terms that faults of machines explain.
 	maxOrdinaryShortTerms = 2
 	// minOpenBytes is the least that a leader opens, and unboundedOpenBytes is taken for full where no
 	// bound is known.
@@ -21,8 +21,8 @@
 	unboundedOpenBytes = 64 << 20
 )
 
-// shortTerms returns the number of short terms in a row up to and including the former one. One that was handed
-// over ends the row.
+// shortTerms returns the number of consecutive short terms up to and including the former one. One that was
+// handed over does not count as short.
 func shortTerms(former jobs.Term) int {
 	if former.Epoch == 0 || former.Leader == "" || former.AgeMS >= shortTermDuration.Milliseconds() {
 		return 0
@@ -30,8 +30,8 @@
 	return former.ShortTerms + 1
 }
 
-// reducedOpenBytes returns the bound of open tasks for a leader that follows a row of short terms and has led for
-// some time. It doubles with each shortTermDuration.
+// reducedOpenBytes returns the bound of open tasks for a leader that follows consecutive short terms and has led
+// for some time. It doubles with each shortTermDuration.
 func reducedOpenBytes(full int64, shortTerms int, age time.Duration) int64 {
 	halvings := shortTerms - maxOrdinaryShortTerms - int(age/shortTermDuration)
 	if halvings <= 0 {
@@ -42,3 +42,10 @@
 	}
 	return max(min(full, minOpenBytes), full>>min(halvings, 62))
 }
+
+// limits returns the limits of scheduling decisions, reduced after consecutive short terms.
+func (l *leader) limits() placing.Limits {
+	limits := l.instance.limits()
+	limits.MaxOpenBytes = reducedOpenBytes(limits.MaxOpenBytes, l.shortTerms, l.clock.Now().Sub(l.writer.wonAt))
+	return limits
+}
--- a/batch/shortterms_test.go
+++ b/batch/shortterms_test.go
@@ -41,8 +41,8 @@
 	is.Equal(reducedOpenBytes(1000, 9, 0), int64(1000)) // never more than the bound itself
 }
 
-// Guards against a row of short terms that is forgotten as the term is renewed.
-func TestRenewalsKeepTheRowOfShortTerms(t *testing.T) {
+// Guards against a count of short terms that is lost as the term is renewed.
+func TestRenewalsKeepTheCountOfShortTerms(t *testing.T) {
 	is := is.New(t)
 	writer := newTestWriter(newPartitionedStore(), 4)
 	writer.term.ShortTerms = 3
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -44,7 +44,7 @@
 	// that is not stated, as by former versions.
 	LeaseLimitMS int64 `json:"l,omitempty"`
 	AgeMS        int64 `json:"g,omitempty"` // how long the term had lasted at this renewal
-	ShortTerms   int   `json:"t,omitempty"` // number of terms directly before this one that were short
+	ShortTerms   int   `json:"t,omitempty"` // number of consecutive short terms directly before this one
 }
 
 // SubmissionRecord returns the record by which a job is accepted.
--- a/placing/node.go
+++ b/placing/node.go
@@ -162,8 +162,8 @@
 	return present
 }
 
-// removeNodes removes nodes that are neither listed nor have runs, or starts to be stopped. Until all jobs are known, a run that
-// a node has reported may turn out to be one of theirs.
+// removeNodes removes nodes that are not listed and have neither runs nor starts to be stopped. Until all
+// jobs are known, a run that a node has reported may turn out to be one of theirs.
 func (e *Engine) removeNodes(now time.Time) {
 	remaining := e.nodeOrder[:0]
 	for _, n := range e.nodeOrder {
--- a/placing/property_test.go
+++ b/placing/property_test.go
@@ -23,21 +23,26 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 7).Draw(t, "workers"))
 		s.enableDelayCheck(false)
-		s.changeLeader()
-		s.run(12*time.Second, func() {
-			s.injectFault()
-			if len(s.jobs) < 14 && s.rng.IntN(40) == 0 {
-				s.submitRandomJob()
-			}
-		})
-		s.faultsDisabled = true
-		s.endEvacuations()
-		s.run(60*time.Second, func() {})
-		for _, violation := range s.violations {
-			t.Error(violation)
+		playFaults(t, s, 12*time.Second)
+	})
+}
+
+// playFaults submits jobs and injects faults for some time, and checks what has happened once all is calm.
+func playFaults(t *rapid.T, s *simulation, length time.Duration) {
+	s.changeLeader()
+	s.run(length, func() {
+		s.injectFault()
+		if len(s.jobs) < 14 && s.rng.IntN(40) == 0 {
+			s.submitRandomJob()
 		}
-		checkEnds(t, s)
 	})
+	s.faultsDisabled = true
+	s.endEvacuations()
+	s.run(60*time.Second, func() {})
+	for _, violation := range s.violations {
+		t.Error(violation)
+	}
+	checkEnds(t, s)
 }
 
 func checkEnds(t *rapid.T, s *simulation) {
--- a/placing/strayorders_sim_test.go
+++ b/placing/strayorders_sim_test.go
@@ -99,19 +99,6 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 7).Draw(t, "workers"))
 		s.strayOrders = newStrayOrderModel(15)
-		s.changeLeader()
-		s.run(25*time.Second, func() {
-			s.injectFault()
-			if len(s.jobs) < 14 && s.rng.IntN(40) == 0 {
-				s.submitRandomJob()
-			}
-		})
-		s.faultsDisabled = true
-		s.endEvacuations()
-		s.run(60*time.Second, func() {})
-		for _, violation := range s.violations {
-			t.Error(violation)
-		}
-		checkEnds(t, s)
+		playFaults(t, s, 25*time.Second)
 	})
 }
--- a/placing/strayorders_test.go
+++ b/placing/strayorders_test.go
@@ -195,8 +195,8 @@
 	is.True(currentRun(e, key) != 1)
 }
 
-// Guards against a start of a run that has ended since and arrives after two restarts of its worker: its stops are lost,
-// or sent to the first of the next incarnations only.
+// Guards against a start of a run that has ended since and arrives after two restarts of its worker: its stops
+// are lost, or sent to the first of the next incarnations only.
 func TestStartOfEndedRunIsStoppedAtEachIncarnation(t *testing.T) {
 	is := is.New(t)
 	first := incarnationEntry("w1", 100)
