Open jobs without a schedule in the order of their acceptance

Cause: under the bound of open tasks a job without a schedule counted as due at time 0, so it went before every occurrence of a scheduled job of the same priority, however late.

Evidence: TestJobsOpenInTheOrderInWhichTheyAreDue fails without it.

--- a/placing/occurrences.go
+++ b/placing/occurrences.go
@@ -153,7 +153,15 @@
 	if j.queue.Priority != other.queue.Priority {
 		return j.queue.Priority < other.queue.Priority
 	}
-	return j.scheduledMS(j.nextOccurrence) < other.scheduledMS(other.nextOccurrence)
+	return j.nextDueMS() < other.nextDueMS()
+}
+
+// nextDueMS returns the time of day from which the next occurrence waits to be opened.
+func (j *job) nextDueMS() int64 {
+	if j.submission.Occurrences == 0 {
+		return j.acceptedMS
+	}
+	return j.scheduledMS(j.nextOccurrence)
 }
 
 // openOccurrencesOf opens the occurrences of a job that are due, and reports whether none is left.
--- a/placing/occurrences_test.go
+++ b/placing/occurrences_test.go
@@ -134,6 +134,24 @@
 	is.Equal(e.openBytes, e.limits.MaxOpenBytes)
 }
 
+// Guards against scheduled jobs that wait for ever behind jobs without a schedule, under the bound of open tasks.
+func TestJobsOpenInTheOrderInWhichTheyAreDue(t *testing.T) {
+	is := is.New(t)
+	e := testEngine(1)
+	e.limits.MaxOpenBytes = 8 * (bytesPerOpenStep + bytesPerOpenTask) // six for priorities above 0
+	for number := range 12 {
+		submission := testJob(hexID(number+1), 1, testStep(1, 1))
+		if number%2 == 1 {
+			submission = scheduledJob(number+1, 1, 1, time.Duration(number)*time.Second)
+		}
+		e.addJob(submission, testStart.Add(time.Duration(number)*time.Second))
+	}
+	e.waitingUnits(testStart.Add(time.Minute))
+	for number := range 12 {
+		is.Equal(len(e.jobs[hexID(number+1)].occurrences) == 1, number < 6)
+	}
+}
+
 // Guards against an estimate of the memory of open tasks that is too low.
 func TestOpenTasksTakeNoMoreMemoryThanEstimated(t *testing.T) {
 	for _, c := range []struct{ jobs, occurrences, tasks int }{{100, 1, 3000}, {100, 1000, 1}, {2000, 1, 1}, {500, 10, 10}} {
