--- a/batch/linklease.go
+++ b/batch/linklease.go
@@ -25,7 +25,8 @@
 }
 
 // extendLease returns the lease to request. The lease is not extended while the worker does not
-// answer, so that the time at which everything has expired does not move, nor while this instance may request none.
+// answer, so that the time at which everything has expired does not move, nor while this instance may request
+// none.
 func (l *link) extendLease(now time.Time) int64 {
 	l.lock.Lock()
 	defer l.lock.Unlock()
